--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,10 @@
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json url unit_test_framework)
+find_package(yaml-cpp REQUIRED)
+find_package(CLI11 REQUIRED)
+find_package(OpenSSL REQUIRED)
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,88 @@
+/// Messages between the nodes of apricotarch.
+/// Heartbeats travel as one UDP datagram each; requests and replies travel as length-prefixed frames over TCP.
+namespace cpp apricotarch.wire
+
+/// Tokens and requests that one node has outstanding at one replica.
+struct InFlight {
+  1: required string replica
+  2: required i32 requests
+  3: required i64 promptTokens
+  4: required i64 outputTokens
+}
+
+/// What the sender has seen a request content do to backend servers.
+struct CrashRecord {
+  1: required i64 contentHash
+  /// Crashes under it; 0 clears what was said before.
+  2: required i32 crashes
+  /// Milliseconds the record still has to run on the sender's clock.
+  3: required i64 remainingMs
+}
+
+/// What a node knows of the current configuration row.
+struct ConfigurationClaim {
+  1: required i64 epoch
+  2: required i64 version
+  3: required string digest
+  /// Row epoch an offered, not yet decided, configuration is based on; 0 for none.
+  4: required i64 offerBaseEpoch
+  5: required string offerDigest
+  /// Whether the sender has a body for the version it names.
+  6: required bool ready
+}
+
+struct Elector {
+  1: required string node
+  2: required i64 incarnation
+}
+
+struct Heartbeat {
+  1: required string node
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: required string zone
+  5: required string callerAddress
+  6: required string peerAddress
+  7: required bool draining
+  8: required double loadShare
+  9: required ConfigurationClaim configuration
+  10: required list<InFlight> inFlight
+  11: required list<CrashRecord> crashRecords
+  /// Replicas that the sender, as holder of its cell's duty, is draining.
+  12: required list<string> drainingReplicas
+  /// Milliseconds since the sender last read the configuration row; negative for never.
+  13: required i64 storeAgeMs
+  /// The receiver's latest beat that the sender has heard; 0 for none.
+  14: required i64 echoIncarnation
+  15: required i64 echoSequence
+}
+
+enum PeerRequestKind {
+  FETCH_BODY = 1,
+  OFFER_BODY = 2,
+  FETCH_COMMITTED = 3
+}
+
+struct PeerRequest {
+  1: required PeerRequestKind kind
+  2: required string sender
+  /// Body digest asked for or offered.
+  3: required string digest
+  4: required i64 baseEpoch
+  5: required string body
+}
+
+/// The configuration row as the sender knows it.
+struct Committed {
+  1: required i64 epoch
+  2: required i64 version
+  3: required string digest
+  4: required list<Elector> electorate
+  5: required string attempt
+}
+
+struct PeerReply {
+  1: required bool ok
+  2: required string body
+  3: optional Committed committed
+}
--- /dev/null
+++ b/include/apricotarch/state/metrics.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/**
+ * @file
+ * Counters and latency summaries of one process. Every refusal and every retry has a reason, and every reason a counter.
+ */
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace apricotarch
+{
+
+/// Families of counters; each has one label.
+enum class CounterFamily {
+    Requests, ///< By service.
+    Refusals, ///< By reason.
+    Retries, ///< By reason.
+    Answers, ///< By result.
+    Orders, ///< By step.
+    Leases, ///< By step.
+    Configurations, ///< By step.
+    Peers, ///< By event.
+};
+
+/// Measured durations.
+enum class LatencyKind {
+    FirstToken, ///< From the request's arrival to its first piece of output.
+    Total, ///< From the request's arrival to its end.
+    Added, ///< Time a node adds to the first byte from the backend server.
+};
+
+/// Thread-safe metrics.
+class Metrics
+{
+public:
+    Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+    ~Metrics();
+
+    /// Adds one to a counter. Logarithmic in the labels of the family.
+    void increment(CounterFamily family, std::string_view label);
+
+    /// Present value of a counter; 0 where it was never incremented.
+    [[nodiscard]] std::uint64_t count(CounterFamily family, std::string_view label) const;
+
+    /// Takes a duration into its summary.
+    void observe(LatencyKind kind, std::chrono::steady_clock::duration duration);
+
+    /// All metrics in the Prometheus text format.
+    [[nodiscard]] std::string exposition() const;
+
+private:
+    struct Latency;
+    struct Family
+    {
+        mutable std::mutex mutex;
+        std::map<std::string, std::uint64_t, std::less<>> counts;
+    };
+
+    static constexpr std::size_t FamilyCount = 8;
+    static constexpr std::size_t LatencyCount = 3;
+
+    std::array<Family, FamilyCount> m_families;
+    std::array<std::unique_ptr<Latency>, LatencyCount> m_latencies;
+};
+
+} // namespace apricotarch
--- /dev/null
+++ b/include/apricotarch/transport/platform_client.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/**
+ * @file
+ * The platform's services over HTTP: table, objects and VM list.
+ */
+
+#include "apricotarch/coordination/platform.h"
+#include "apricotarch/transport/http_client.h"
+
+namespace apricotarch
+{
+
+/// Where the platform is and how long to wait for it.
+struct PlatformAccess
+{
+    Endpoint endpoint;
+    Duration timeout = std::chrono::seconds(1);
+};
+
+/// The transactional table service.
+class PlatformTable final : public TableStore
+{
+public:
+    PlatformTable(HttpClient &client, PlatformAccess access);
+
+    [[nodiscard]] asio::awaitable<Result<std::optional<Row>>> read(RowKey key) override;
+    [[nodiscard]] asio::awaitable<Result<RowVersion>> write(RowWrite write) override;
+
+private:
+    HttpClient &m_client;
+    PlatformAccess m_access;
+};
+
+/// The object store.
+class PlatformObjects final : public ObjectStore
+{
+public:
+    PlatformObjects(HttpClient &client, PlatformAccess access);
+
+    [[nodiscard]] asio::awaitable<Result<std::string>> get(Digest digest) override;
+    [[nodiscard]] asio::awaitable<Result<void>> put(Digest digest, std::string body) override;
+
+private:
+    HttpClient &m_client;
+    PlatformAccess m_access;
+};
+
+/// The VM list.
+class PlatformVmList final : public VmList
+{
+public:
+    PlatformVmList(HttpClient &client, PlatformAccess access);
+
+    [[nodiscard]] asio::awaitable<Result<std::vector<VmEntry>>> list() override;
+
+private:
+    HttpClient &m_client;
+    PlatformAccess m_access;
+};
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/app/cli.cpp
@@ -0,0 +1,206 @@
+#include "apricotarch/app/cli.h"
+
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+
+#include <CLI/CLI.hpp>
+
+#include "apricotarch/app/operator_client.h"
+#include "apricotarch/app/serve.h"
+#include "apricotarch/base/hash.h"
+#include "apricotarch/protocol/questionnaire.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+/// Everything that arguments can set.
+struct Arguments
+{
+    OperatorAccess access;
+    std::string output = "text";
+    std::string settings = "node.yaml";
+    std::string file;
+    long base = 0;
+    std::string kind;
+    std::string subject;
+    std::string key;
+    long content = 0;
+};
+
+using Command = std::function<int()>;
+
+std::optional<std::string> readFile(const std::string &file)
+{
+    std::ifstream in(file);
+    if (!in) {
+        std::cerr << file << ": cannot be opened\n";
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+int checkQuestionnaire(const std::string &file)
+{
+    const std::optional<std::string> text = readFile(file);
+    if (!text) {
+        return InvalidInput;
+    }
+    const auto configuration = generateConfiguration(*text);
+    if (!configuration) {
+        std::cerr << describe(file, configuration.error());
+        return InvalidInput;
+    }
+    std::cout << file << ": no faults; " << configuration->services.size() << " services, " << configuration->callers.size() << " callers\n";
+    return Success;
+}
+
+int submitQuestionnaire(const Arguments &arguments)
+{
+    const int checked = checkQuestionnaire(arguments.file);
+    if (checked != Success) {
+        return checked;
+    }
+    const std::string query = "base=" + std::to_string(arguments.base);
+    return askNode(arguments.access, "POST", "/v1/operator/configuration", query, *readFile(arguments.file));
+}
+
+int hashKey(const std::string &given)
+{
+    std::string key = given;
+    if (key.empty()) {
+        std::getline(std::cin, key);
+    }
+    std::cout << sha256Hex(key) << '\n';
+    return Success;
+}
+
+void addAccess(CLI::App &command, Arguments &arguments)
+{
+    command.add_option("--node", arguments.access.node, "any node, IP:PORT")->capture_default_str();
+    command.add_option("--token", arguments.access.token, "operators' token")->envname("APRICOTARCH_TOKEN");
+    command.add_option("--output", arguments.output, "text or json")->check(CLI::IsMember({"text", "json"}))->capture_default_str();
+}
+
+void addServe(CLI::App &app, Arguments &arguments, Command &chosen)
+{
+    CLI::App *command = app.add_subcommand("serve", "Run a node until SIGTERM, then shut down gracefully.");
+    command->add_option("--settings", arguments.settings, "YAML file")->capture_default_str();
+    command->callback([&] {
+        chosen = [&arguments] {
+            return serve(arguments.settings);
+        };
+    });
+    CLI::App *settings = app.add_subcommand("settings", "Work with settings files.")->require_subcommand(1);
+    CLI::App *check = settings->add_subcommand("check", "List every fault of a settings file.");
+    check->add_option("file", arguments.settings, "YAML file")->capture_default_str();
+    check->callback([&] {
+        chosen = [&arguments] {
+            return checkSettings(arguments.settings);
+        };
+    });
+}
+
+void addQuestionnaire(CLI::App &app, Arguments &arguments, Command &chosen)
+{
+    CLI::App *group = app.add_subcommand("questionnaire", "Describe a desk; the configuration is generated from the answers.")->require_subcommand(1);
+    group->add_subcommand("new", "Print an empty questionnaire.")->callback([&] {
+        chosen = [] {
+            std::cout << blankQuestionnaire();
+            return static_cast<int>(Success);
+        };
+    });
+    CLI::App *check = group->add_subcommand("check", "List every fault of a questionnaire.");
+    check->add_option("file", arguments.file, "YAML file")->required();
+    check->callback([&] {
+        chosen = [&arguments] {
+            return checkQuestionnaire(arguments.file);
+        };
+    });
+    CLI::App *submit = group->add_subcommand("submit", "Have a questionnaire accepted or refused as a whole.");
+    submit->add_option("file", arguments.file, "YAML file")->required();
+    submit->add_option("--base", arguments.base, "version in force that the answers start from; 0 for the first")->capture_default_str();
+    addAccess(*submit, arguments);
+    submit->callback([&] {
+        chosen = [&arguments] {
+            return submitQuestionnaire(arguments);
+        };
+    });
+}
+
+void addExplain(CLI::App &app, Arguments &arguments, Command &chosen)
+{
+    CLI::App *command = app.add_subcommand("explain", "Tell what was seen, weighed and chosen.");
+    command->add_option("kind", arguments.kind, "what about")->required()->check(CLI::IsMember({"order", "lease", "config", "member", "request"}));
+    command->add_option("id", arguments.subject, "engine, duty, version, node or request; all where left out");
+    addAccess(*command, arguments);
+    command->callback([&] {
+        chosen = [&arguments] {
+            return askNode(arguments.access, "GET", "/v1/operator/explain", "kind=" + arguments.kind + "&subject=" + arguments.subject, "");
+        };
+    });
+}
+
+void addSimple(CLI::App &app, Arguments &arguments, Command &chosen, const char *name, const char *help, const char *method, const char *path)
+{
+    CLI::App *command = app.add_subcommand(name, help);
+    addAccess(*command, arguments);
+    command->callback([&arguments, &chosen, method, path] {
+        chosen = [&arguments, method, path] {
+            return askNode(arguments.access, method, path, "", "");
+        };
+    });
+}
+
+void addCallers(CLI::App &app, Arguments &arguments, Command &chosen)
+{
+    CLI::App *group = app.add_subcommand("callers", "Callers' keys and contents.")->require_subcommand(1);
+    CLI::App *hash = group->add_subcommand("hash", "Print the hash of a key for the questionnaire; reads the key from standard input.");
+    hash->add_option("key", arguments.key, "the key; standard input where left out");
+    hash->callback([&] {
+        chosen = [&arguments] {
+            return hashKey(arguments.key);
+        };
+    });
+    CLI::App *lift = group->add_subcommand("lift", "Lift the conviction of a content that crashed backend servers.");
+    lift->add_option("content", arguments.content, "content hash, as in explain request")->required();
+    addAccess(*lift, arguments);
+    lift->callback([&] {
+        chosen = [&arguments] {
+            return askNode(arguments.access, "POST", "/v1/operator/lift", "content=" + std::to_string(arguments.content), "");
+        };
+    });
+}
+
+} // namespace
+
+int runCommandLine(int argc, char **argv)
+{
+    Arguments arguments;
+    Command chosen;
+    CLI::App app("apricotarch serves language models and booking services on a fixed fleet.");
+    app.footer("Exit codes: 0 done, 1 failed, 2 faulty input, 3 node unreachable, 4 outcome unknown.");
+    app.require_subcommand(1);
+    addServe(app, arguments, chosen);
+    addQuestionnaire(app, arguments, chosen);
+    addSimple(app, arguments, chosen, "status", "Show a node's view of the system.", "GET", "/v1/operator/status");
+    addSimple(app, arguments, chosen, "drain", "Shut a node down gracefully.", "POST", "/v1/operator/drain");
+    addSimple(app, arguments, chosen, "config", "Show the configuration in force.", "GET", "/v1/operator/configuration");
+    addExplain(app, arguments, chosen);
+    addCallers(app, arguments, chosen);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        return app.exit(error) == 0 ? Success : InvalidInput;
+    }
+    arguments.access.json = arguments.output == "json";
+    return chosen();
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,130 @@
+#include "apricotarch/app/serve.h"
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "apricotarch/app/cli.h"
+#include "apricotarch/app/http_api.h"
+#include "apricotarch/base/log.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds ShutdownPoll{100};
+
+std::optional<Settings> loadSettings(const std::string &file)
+{
+    std::ifstream in(file);
+    if (!in) {
+        std::cerr << file << ": cannot be opened; give the path of a settings file with --settings\n";
+        return std::nullopt;
+    }
+    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    auto settings = parseSettings(text);
+    if (!settings) {
+        std::cerr << describe(file, settings.error());
+        return std::nullopt;
+    }
+    return std::move(*settings);
+}
+
+/// Incarnations of one node grow, since its VM's wall clock does between two starts.
+Incarnation newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+HttpServerLimits limitsOf(const Settings &settings)
+{
+    HttpServerLimits limits;
+    limits.bodyBytes = settings.bodyBytes;
+    limits.connections = settings.connections;
+    return limits;
+}
+
+/// Runs a loop until a signal or an operator asks for a shutdown.
+void waitForShutdown(asio::io_context &loop, const Node &node)
+{
+    asio::signal_set signals(loop, SIGTERM, SIGINT);
+    asio::steady_timer timer(loop);
+    signals.async_wait([&](const boost::system::error_code &, int) {
+        loop.stop();
+    });
+    std::function<void()> poll = [&] {
+        timer.expires_after(ShutdownPoll);
+        timer.async_wait([&](const boost::system::error_code &) {
+            node.shutdownRequested() ? loop.stop() : poll();
+        });
+    };
+    poll();
+    loop.run();
+    loop.restart();
+}
+
+void shutDown(asio::io_context &loop, Node &node, HttpServer &server)
+{
+    bool done = false;
+    const auto work = [&]() -> asio::awaitable<void> {
+        co_await node.shutDown();
+        server.stopAccepting();
+        done = true;
+    };
+    asio::co_spawn(node.workers().first(), work(), [&loop](const std::exception_ptr &) {
+        loop.stop();
+    });
+    const auto guard = asio::make_work_guard(loop);
+    loop.run();
+    if (!done) {
+        LogEvent("node.shutdown_failed", LogEvent::Level::Error);
+    }
+}
+
+} // namespace
+
+int serve(const std::string &settingsFile)
+{
+    const std::optional<Settings> settings = loadSettings(settingsFile);
+    if (!settings) {
+        return InvalidInput;
+    }
+    Node node(*settings, newIncarnation());
+    HttpApi api(node);
+    HttpServer server(node.workers(), limitsOf(*settings), [&api](const HttpRequest &request, HttpResponder &responder) {
+        return api.handle(request, responder);
+    });
+    const Result<void> listening = server.listen(settings->callerAddress);
+    const Result<void> started = listening ? node.start() : listening;
+    if (!started) {
+        std::cerr << describe(started.error()) << '\n';
+        return Failed;
+    }
+    asio::io_context loop;
+    waitForShutdown(loop, node);
+    shutDown(loop, node, server);
+    node.stop();
+    return Success;
+}
+
+int checkSettings(const std::string &settingsFile)
+{
+    if (!loadSettings(settingsFile)) {
+        return InvalidInput;
+    }
+    std::cout << settingsFile << ": no faults\n";
+    return Success;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,100 @@
+#include "apricotarch/app/settings.h"
+
+#include <set>
+
+#include "apricotarch/coordination/routing.h"
+#include "apricotarch/protocol/yaml_map.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr NumberRange ThreadCount{1, 64};
+constexpr NumberRange RequestCount{1, 100'000};
+constexpr NumberRange ConnectionCount{1, 100'000};
+constexpr NumberRange BodyBytes{1024, 64 * 1024 * 1024};
+constexpr NumberRange ShutdownSeconds{1, 3600};
+constexpr NumberRange EntrySeconds{1, 600};
+constexpr std::size_t ShortestSecret = 16;
+
+Endpoint readEndpoint(YamlMap &map, const std::string &key)
+{
+    const std::string text = map.text(key);
+    const Result<Endpoint> endpoint = parseEndpoint(text);
+    if (!endpoint && !text.empty()) {
+        map.fault(key, "must be IP:PORT, for example 10.0.0.4:8080");
+    }
+    return endpoint.value_or(Endpoint());
+}
+
+std::string readSecret(YamlMap &map, const std::string &key)
+{
+    std::string secret = map.text(key);
+    if (!secret.empty() && secret.size() < ShortestSecret) {
+        map.fault(key, "must have at least " + std::to_string(ShortestSecret) + " characters");
+    }
+    return secret;
+}
+
+void readPeers(YamlMap &root, Settings &settings)
+{
+    std::set<NodeId> nodes{settings.node};
+    for (YamlMap &map : root.mapsOr("peers")) {
+        PeerSettings peer;
+        peer.node = NodeId(map.text("node"));
+        peer.address = readEndpoint(map, "address");
+        map.refuseUnknown();
+        if (!peer.node.empty() && !nodes.insert(peer.node).second) {
+            map.fault("node", "is this node, or stands twice");
+        }
+        settings.peers.push_back(peer);
+    }
+}
+
+void readLimits(YamlMap &root, Settings &settings)
+{
+    settings.threads = static_cast<std::size_t>(root.numberOr("threads", ThreadCount, static_cast<std::int64_t>(settings.threads)));
+    settings.inFlight = static_cast<std::size_t>(root.numberOr("requests_in_flight", RequestCount, static_cast<std::int64_t>(settings.inFlight)));
+    settings.connections = static_cast<std::size_t>(root.numberOr("connections", ConnectionCount, static_cast<std::int64_t>(settings.connections)));
+    settings.bodyBytes = static_cast<std::size_t>(root.numberOr("body_bytes", BodyBytes, static_cast<std::int64_t>(settings.bodyBytes)));
+    settings.shutdownBound = std::chrono::seconds(root.numberOr("shutdown_bound_s", ShutdownSeconds, 30));
+    settings.entryKeepsFor = std::chrono::seconds(root.numberOr("entry_keeps_for_s", EntrySeconds, 10));
+    settings.routing = root.textOr("routing", "predicted_time");
+    if (makePolicy(settings.routing) == nullptr) {
+        root.fault("routing", "must be one of: predicted_time, least_outstanding, round_robin");
+    }
+}
+
+} // namespace
+
+tl::expected<Settings, Faults> parseSettings(const std::string &text)
+{
+    Faults faults;
+    std::optional<YamlMap> root = parseYamlMap(text, faults);
+    if (!root) {
+        return tl::unexpected(faults);
+    }
+    Settings settings;
+    settings.node = NodeId(root->text("node"));
+    settings.zone = ZoneId(root->text("zone"));
+    settings.cell = root->textOr("cell", settings.zone.value());
+    settings.callerAddress = readEndpoint(*root, "caller_address");
+    settings.peerAddress = readEndpoint(*root, "peer_address");
+    settings.platform = readEndpoint(*root, "platform_address");
+    settings.peerKey = readSecret(*root, "peer_key");
+    settings.operatorToken = readSecret(*root, "operator_token");
+    readPeers(*root, settings);
+    readLimits(*root, settings);
+    if (settings.callerAddress.port != 0 && settings.callerAddress == settings.peerAddress) {
+        root->fault("peer_address", "must not be the caller_address");
+    }
+    root->refuseUnknown();
+    if (!faults.empty()) {
+        return tl::unexpected(faults);
+    }
+    return settings;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/base/json_object.cpp
@@ -0,0 +1,135 @@
+#include "apricotarch/base/json_object.h"
+
+#include <utility>
+
+#include <boost/json/parse.hpp>
+
+namespace apricotarch
+{
+
+namespace json = boost::json;
+
+JsonObject::JsonObject(const json::value &value, std::string step, std::string peer)
+    : m_object(value.if_object())
+    , m_step(std::move(step))
+    , m_peer(std::move(peer))
+{
+    if (m_object == nullptr) {
+        m_fault = Error{ErrorId::InvalidField, m_step, m_peer, "expected a JSON object", Delivery::NotSent};
+    }
+}
+
+const json::value *JsonObject::find(std::string_view key) const noexcept
+{
+    return m_object == nullptr ? nullptr : m_object->if_contains(key);
+}
+
+void JsonObject::fault(std::string_view key, std::string_view expected)
+{
+    if (!m_fault) {
+        const std::string detail = "field '" + std::string(key) + "' must be " + std::string(expected);
+        m_fault = Error{ErrorId::InvalidField, m_step, m_peer, detail, Delivery::NotSent};
+    }
+}
+
+std::string JsonObject::text(std::string_view key)
+{
+    const json::value *field = find(key);
+    if (field == nullptr || !field->is_string()) {
+        fault(key, "a text");
+        return {};
+    }
+    return std::string(field->get_string());
+}
+
+std::int64_t JsonObject::number(std::string_view key)
+{
+    const json::value *field = find(key);
+    if (field == nullptr || !field->is_int64()) {
+        fault(key, "a whole number");
+        return 0;
+    }
+    return field->get_int64();
+}
+
+double JsonObject::real(std::string_view key)
+{
+    const json::value *field = find(key);
+    if (field == nullptr || !field->is_number()) {
+        fault(key, "a number");
+        return 0;
+    }
+    return field->to_number<double>();
+}
+
+bool JsonObject::flag(std::string_view key)
+{
+    const json::value *field = find(key);
+    if (field == nullptr || !field->is_bool()) {
+        fault(key, "true or false");
+        return false;
+    }
+    return field->get_bool();
+}
+
+const json::array &JsonObject::list(std::string_view key)
+{
+    static const json::array Empty;
+    const json::value *field = find(key);
+    if (field == nullptr || !field->is_array()) {
+        fault(key, "a list");
+        return Empty;
+    }
+    return field->get_array();
+}
+
+const json::value &JsonObject::value(std::string_view key)
+{
+    static const json::value Null;
+    const json::value *field = find(key);
+    if (field == nullptr) {
+        fault(key, "present");
+        return Null;
+    }
+    return *field;
+}
+
+bool JsonObject::has(std::string_view key) const noexcept
+{
+    return find(key) != nullptr;
+}
+
+std::string JsonObject::textOr(std::string_view key, std::string fallback)
+{
+    return has(key) ? text(key) : std::move(fallback);
+}
+
+std::int64_t JsonObject::numberOr(std::string_view key, std::int64_t fallback)
+{
+    return has(key) ? number(key) : fallback;
+}
+
+bool JsonObject::flagOr(std::string_view key, bool fallback)
+{
+    return has(key) ? flag(key) : fallback;
+}
+
+Result<void> JsonObject::finish() const
+{
+    if (m_fault) {
+        return Failure(*m_fault);
+    }
+    return {};
+}
+
+Result<json::value> parseJson(std::string_view text, const std::string &step, const std::string &peer)
+{
+    json::error_code code;
+    json::value value = json::parse(text, code);
+    if (code) {
+        return fail(ErrorId::MalformedMessage, step, peer, "not readable as JSON: " + code.message());
+    }
+    return value;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/coordination/admission.cpp
@@ -0,0 +1,80 @@
+#include "apricotarch/coordination/admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace apricotarch
+{
+
+AdmissionGate::AdmissionGate(AdmissionLimits limits)
+    : m_limits(limits)
+{
+}
+
+std::string AdmissionGate::enter(const CallerId &caller)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_inFlight >= m_limits.inFlight) {
+        return "node_full";
+    }
+    const auto found = m_callers.find(caller);
+    const std::size_t own = found == m_callers.end() ? 0 : found->second;
+    const std::size_t callers = m_callers.size() + (own == 0 ? 1 : 0);
+    const bool crowded = static_cast<double>(m_inFlight) >= m_limits.fairFrom * static_cast<double>(m_limits.inFlight);
+    if (crowded && own >= std::max<std::size_t>(m_limits.inFlight / callers, 1)) {
+        return "caller_share_used";
+    }
+    ++m_callers[caller];
+    ++m_inFlight;
+    return {};
+}
+
+void AdmissionGate::leave(const CallerId &caller)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_callers.find(caller);
+    if (found == m_callers.end()) {
+        return;
+    }
+    --m_inFlight;
+    if (--found->second == 0) {
+        m_callers.erase(found);
+    }
+}
+
+std::size_t AdmissionGate::inFlight() const noexcept
+{
+    const std::lock_guard lock(m_mutex);
+    return m_inFlight;
+}
+
+double AdmissionGate::loadShare() const noexcept
+{
+    return static_cast<double>(inFlight()) / static_cast<double>(m_limits.inFlight);
+}
+
+bool canBeInTime(Duration predicted, Duration left) noexcept
+{
+    return predicted <= left;
+}
+
+std::chrono::seconds retryAfter(Duration predicted, Duration left) noexcept
+{
+    constexpr std::chrono::seconds Shortest{1};
+    constexpr std::chrono::seconds Longest{30};
+    const auto late = std::chrono::duration_cast<std::chrono::seconds>(predicted - left);
+    return std::clamp(late, Shortest, Longest);
+}
+
+AdmissionPlace::AdmissionPlace(AdmissionGate &gate, CallerId caller)
+    : m_gate(gate)
+    , m_caller(std::move(caller))
+{
+}
+
+AdmissionPlace::~AdmissionPlace()
+{
+    m_gate.leave(m_caller);
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/coordination/claims.cpp
@@ -0,0 +1,239 @@
+#include "apricotarch/coordination/claims.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "apricotarch/base/hash.h"
+#include "apricotarch/state/row_codec.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr std::size_t MaxAbandoned = 10'000;
+
+/// A key that no two calls share, whatever characters their parts contain.
+RowKey rowKeyOf(const ClaimKey &key)
+{
+    const std::string caller = std::to_string(key.caller.value().size()) + ':' + key.caller.value();
+    return {"claim", key.service.value() + '/' + sha256Hex(caller + key.idempotencyKey)};
+}
+
+} // namespace
+
+ClaimDecision decideClaim(const ClaimRow &row, ContentHash content, bool ownerRunning) noexcept
+{
+    if (row.content != content) {
+        return ClaimDecision::KeyReused;
+    }
+    switch (row.state) {
+    case ClaimState::Done:
+        return ClaimDecision::Replay;
+    case ClaimState::NotSent:
+        return ClaimDecision::Send;
+    case ClaimState::Unknown:
+        return ClaimDecision::OutcomeUnknown;
+    case ClaimState::Dispatched:
+        break;
+    }
+    return ownerRunning ? ClaimDecision::InProgress : ClaimDecision::OutcomeUnknown;
+}
+
+ClaimKeeper::ClaimKeeper(TableStore &table, Members &members, Clock &clock, Metrics &metrics, ProcessId self)
+    : m_table(table)
+    , m_members(members)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_self(std::move(self))
+{
+}
+
+bool ClaimKeeper::isRunning(const RowKey &key, const ClaimRow &row) const
+{
+    if (row.owner == m_self.node) {
+        const std::lock_guard lock(m_mutex);
+        return row.ownerIncarnation == m_self.incarnation && m_running.contains(key);
+    }
+    const auto owner = m_members.member(row.owner, m_clock.now());
+    return owner && owner->status != MemberStatus::Gone && owner->last.incarnation == row.ownerIncarnation;
+}
+
+ClaimTicket ClaimKeeper::owned(const RowKey &key, RowVersion version, const ClaimRow &row)
+{
+    return {ClaimDecision::Send, key, version, row, Error()};
+}
+
+ClaimTicket ClaimKeeper::notRun(const RowKey &key, const ClaimRow &row, Error error)
+{
+    ended(key);
+    ClaimTicket ticket{ClaimDecision::NotRun, key, RowVersion(), row, std::move(error)};
+    if (ticket.error.delivery == Delivery::MaybeSent) {
+        remember(ticket);
+    }
+    return ticket;
+}
+
+void ClaimKeeper::ended(const RowKey &key)
+{
+    const std::lock_guard lock(m_mutex);
+    m_running.erase(key);
+}
+
+void ClaimKeeper::remember(const ClaimTicket &ticket)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_abandoned.size() < MaxAbandoned) {
+        m_abandoned.push_back(ticket);
+        return;
+    }
+    m_metrics.increment(CounterFamily::Answers, "claim_left_unsettled");
+}
+
+asio::awaitable<ClaimTicket> ClaimKeeper::begin(ClaimKey key, ContentHash content)
+{
+    const RowKey rowKey = rowKeyOf(key);
+    ClaimRow row;
+    row.state = ClaimState::Dispatched;
+    row.content = content;
+    row.owner = m_self.node;
+    row.ownerIncarnation = m_self.incarnation;
+    row.attempt = AttemptId(uniqueId());
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_running.insert(rowKey).second) {
+            co_return ClaimTicket{ClaimDecision::InProgress, rowKey, RowVersion(), row, Error()};
+        }
+    }
+    co_return co_await insert(rowKey, row);
+}
+
+asio::awaitable<ClaimTicket> ClaimKeeper::insert(RowKey key, ClaimRow row)
+{
+    const RowWrite write{key, RowVersion(), encodeClaim(row), std::nullopt};
+    const WriteResult written = co_await writeSettled(m_table, m_clock, write);
+    switch (written.outcome) {
+    case WriteOutcome::Written:
+        co_return owned(key, written.version, row);
+    case WriteOutcome::Lost:
+    case WriteOutcome::Overtaken:
+        if (written.version != RowVersion()) {
+            const Row present{written.version, written.text};
+            co_return co_await meet(key, present, row);
+        }
+        break;
+    case WriteOutcome::Unknown:
+        break;
+    }
+    Error error = written.error;
+    error.step = "claim.insert";
+    error.delivery = written.outcome == WriteOutcome::Unknown ? Delivery::MaybeSent : Delivery::NotSent;
+    co_return notRun(key, row, std::move(error));
+}
+
+asio::awaitable<ClaimTicket> ClaimKeeper::meet(RowKey key, Row present, ClaimRow mine)
+{
+    const Result<ClaimRow> decoded = decodeClaim(present.text);
+    if (!decoded) {
+        co_return notRun(key, mine, decoded.error());
+    }
+    bool running = false;
+    {
+        const bool own = decoded->owner == m_self.node;
+        running = !own && isRunning(key, *decoded);
+    }
+    const ClaimDecision decision = decideClaim(*decoded, mine.content, running);
+    if (decision != ClaimDecision::Send) {
+        ended(key);
+        co_return ClaimTicket{decision, key, present.version, *decoded, Error()};
+    }
+    const RowWrite write{key, present.version, encodeClaim(mine), std::nullopt};
+    const WriteResult written = co_await writeSettled(m_table, m_clock, write);
+    if (written.outcome == WriteOutcome::Written) {
+        co_return owned(key, written.version, mine);
+    }
+    Error error = written.error;
+    error.step = "claim.take_over";
+    error.delivery = written.outcome == WriteOutcome::Unknown ? Delivery::MaybeSent : Delivery::NotSent;
+    co_return notRun(key, mine, std::move(error));
+}
+
+asio::awaitable<bool> ClaimKeeper::mark(const ClaimTicket &ticket, ClaimRow row)
+{
+    row.attempt = AttemptId(uniqueId());
+    const RowWrite write{ticket.key, ticket.version, encodeClaim(row), std::nullopt};
+    const WriteResult written = co_await writeSettled(m_table, m_clock, write);
+    co_return written.outcome == WriteOutcome::Written;
+}
+
+asio::awaitable<void> ClaimKeeper::finish(ClaimTicket ticket, ReplicaId replica, CallResult result)
+{
+    ClaimRow row = ticket.row;
+    row.state = ClaimState::Done;
+    row.replica = std::move(replica);
+    row.result = std::move(result);
+    const bool kept = co_await mark(ticket, row);
+    m_metrics.increment(CounterFamily::Answers, kept ? "claim_result_kept" : "claim_result_not_kept");
+    ended(ticket.key);
+}
+
+asio::awaitable<void> ClaimKeeper::leaveUnknown(ClaimTicket ticket)
+{
+    ClaimRow row = ticket.row;
+    row.state = ClaimState::Unknown;
+    (void)co_await mark(ticket, row);
+    ended(ticket.key);
+}
+
+asio::awaitable<void> ClaimKeeper::abandon(ClaimTicket ticket)
+{
+    if (!co_await markNotSent(ticket)) {
+        remember(ticket);
+    }
+    ended(ticket.key);
+}
+
+asio::awaitable<bool> ClaimKeeper::markNotSent(const ClaimTicket &ticket)
+{
+    const Result<std::optional<Row>> read = co_await m_table.read(ticket.key);
+    if (!read) {
+        co_return false;
+    }
+    ClaimRow row = ticket.row;
+    row.state = ClaimState::NotSent;
+    RowVersion version;
+    if (*read) {
+        const Result<ClaimRow> present = decodeClaim((*read)->text);
+        const bool isOwn = present && present->attempt == ticket.row.attempt;
+        if (!isOwn) {
+            co_return true;
+        }
+        version = (*read)->version;
+    }
+    ClaimTicket found = ticket;
+    found.version = version;
+    co_return co_await mark(found, row);
+}
+
+asio::awaitable<void> ClaimKeeper::settleAbandoned()
+{
+    std::vector<ClaimTicket> tickets;
+    {
+        const std::lock_guard lock(m_mutex);
+        tickets.swap(m_abandoned);
+    }
+    for (const ClaimTicket &ticket : tickets) {
+        if (!co_await markNotSent(ticket)) {
+            remember(ticket);
+        }
+    }
+}
+
+std::size_t ClaimKeeper::unsettled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_abandoned.size();
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/coordination/configuration_keeper.cpp
@@ -0,0 +1,467 @@
+#include "apricotarch/coordination/configuration_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "apricotarch/base/hash.h"
+#include "apricotarch/base/log.h"
+#include "apricotarch/state/configuration_codec.h"
+#include "apricotarch/state/row_codec.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr const char *Table = "config";
+constexpr const char *Key = "current";
+
+RowKey rowKey()
+{
+    return {Table, Key};
+}
+
+Result<CommittedConfiguration> decode(const Row &row)
+{
+    const Result<ConfigurationRow> decoded = decodeConfigurationRow(row.text);
+    if (!decoded) {
+        return Failure(decoded.error());
+    }
+    return CommittedConfiguration{row.version, *decoded};
+}
+
+} // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(Dependencies dependencies, ProcessId self, CurrencyTimes times, ChangeHandler onChange)
+    : m_use(dependencies)
+    , m_self(std::move(self))
+    , m_times(times)
+    , m_onChange(std::move(onChange))
+{
+}
+
+std::shared_ptr<const ConfigurationInForce> ConfigurationKeeper::inForce() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_inForce;
+}
+
+AdoptionView ConfigurationKeeper::view() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_view;
+}
+
+template<typename Learn>
+void ConfigurationKeeper::learn(Learn apply)
+{
+    const std::lock_guard lock(m_mutex);
+    m_view = apply(m_view);
+    if (!m_view.offer) {
+        m_offered.reset();
+    }
+}
+
+std::set<ProcessId> ConfigurationKeeper::heard() const
+{
+    const TimePoint now = m_use.clock.now();
+    std::set<ProcessId> processes{m_self};
+    for (const MemberView &member : m_use.members.view(now)) {
+        if (member.provenAt && now - *member.provenAt <= m_times.peerBound) {
+            processes.insert({member.last.node, member.last.incarnation});
+        }
+    }
+    return processes;
+}
+
+Currency ConfigurationKeeper::currencyNow() const
+{
+    return currency(view(), heard(), m_use.clock.now(), m_times);
+}
+
+Admissibility ConfigurationKeeper::admissibility(const ServiceId &service) const
+{
+    const std::set<ProcessId> processes = heard();
+    const std::lock_guard lock(m_mutex);
+    if (!m_inForce || !m_view.committed) {
+        return {nullptr, false, "not_ready"};
+    }
+    if (m_inForce->committed.row.version != m_view.committed->row.version) {
+        return {m_inForce, false, "configuration_not_in_hand"};
+    }
+    switch (currency(m_view, processes, m_use.clock.now(), m_times)) {
+    case Currency::Current:
+        return {m_inForce, true, ""};
+    case Currency::Undecided:
+        if (m_offered && sameService(m_inForce->configuration, *m_offered, service)) {
+            return {m_inForce, true, ""};
+        }
+        return {m_inForce, false, "configuration_undecided"};
+    case Currency::Unknown:
+        break;
+    }
+    return {m_inForce, false, "configuration_unknown"};
+}
+
+ConfigurationClaim ConfigurationKeeper::claim() const
+{
+    const std::lock_guard lock(m_mutex);
+    ConfigurationClaim claim;
+    if (m_view.committed) {
+        claim.epoch = m_view.committed->epoch;
+        claim.version = m_view.committed->row.version;
+        claim.digest = m_view.committed->row.digest;
+        claim.ready = m_inForce && m_inForce->committed.row.version == claim.version;
+    }
+    if (m_view.offer) {
+        claim.offerBase = m_view.offer->base;
+        claim.offerDigest = m_view.offer->digest;
+    }
+    return claim;
+}
+
+std::optional<std::chrono::milliseconds> ConfigurationKeeper::storeAge() const
+{
+    const std::optional<TimePoint> at = view().storeReadAt;
+    if (!at) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_use.clock.now() - *at);
+}
+
+std::optional<CommittedConfiguration> ConfigurationKeeper::committed() const
+{
+    return view().committed;
+}
+
+Result<std::string> ConfigurationKeeper::body(const Digest &digest) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_bodies.find(digest);
+    if (found == m_bodies.end()) {
+        return fail(ErrorId::NotFound, "config.body", m_self.node.value(), "this node does not hold the body " + digest.value());
+    }
+    return found->second;
+}
+
+Result<void> ConfigurationKeeper::hold(const ConfigurationOffer &offer)
+{
+    const Result<Configuration> decoded = decodeConfiguration(offer.body, "peer");
+    if (!decoded || digestOf(offer.body) != offer.digest) {
+        return fail(ErrorId::InvalidField, "config.hold", "peer", "the offered body does not have the digest it is offered under");
+    }
+    keepBody(offer.digest, offer.body);
+    const std::lock_guard lock(m_mutex);
+    const RowVersion known = m_view.committed ? m_view.committed->epoch : RowVersion();
+    if (offer.base < known) {
+        return fail(ErrorId::Conflict, "config.hold", m_self.node.value(), "a later configuration is known here");
+    }
+    m_view = learnOffer(m_view, {offer.base, offer.digest, m_use.clock.now()});
+    m_offered = std::make_shared<const Configuration>(*decoded);
+    return {};
+}
+
+void ConfigurationKeeper::keepBody(const Digest &digest, std::string body)
+{
+    constexpr std::size_t MaxBodies = 8;
+    const std::lock_guard lock(m_mutex);
+    const auto isNeeded = [this](const Digest &kept) {
+        return (m_view.committed && m_view.committed->row.digest == kept) || (m_view.offer && m_view.offer->digest == kept);
+    };
+    if (m_bodies.size() >= MaxBodies) {
+        std::erase_if(m_bodies, [&](const auto &entry) {
+            return !isNeeded(entry.first);
+        });
+    }
+    m_bodies[digest] = std::move(body);
+}
+
+void ConfigurationKeeper::explain(const CommittedConfiguration &committed, std::string seen, std::string weighed, const char *chosen)
+{
+    m_use.metrics.increment(CounterFamily::Configurations, chosen);
+    m_use.decisions.add({.kind = DecisionKind::Configuration,
+        .subject = std::to_string(committed.row.version.value()),
+        .seen = std::move(seen),
+        .weighed = std::move(weighed),
+        .chosen = chosen});
+}
+
+asio::awaitable<Result<std::optional<CommittedConfiguration>>> ConfigurationKeeper::readRow()
+{
+    const TimePoint sentAt = m_use.clock.now();
+    const Result<std::optional<Row>> read = co_await m_use.table.read(rowKey());
+    if (!read) {
+        m_use.metrics.increment(CounterFamily::Configurations, "read_failed");
+        co_return Failure(read.error());
+    }
+    std::optional<CommittedConfiguration> committed;
+    if (*read) {
+        const Result<CommittedConfiguration> decoded = decode(**read);
+        if (!decoded) {
+            co_return Failure(decoded.error());
+        }
+        committed = *decoded;
+    }
+    learn([&](const AdoptionView &view) {
+        return learnRead(view, committed, sentAt);
+    });
+    co_return committed;
+}
+
+asio::awaitable<void> ConfigurationKeeper::poll()
+{
+    const auto row = co_await readRow();
+    co_await bringIntoForce();
+    if (row && *row && offerIsStale(view(), m_use.clock.now(), m_times)) {
+        co_await withdraw(**row);
+    }
+}
+
+asio::awaitable<void> ConfigurationKeeper::hear(Heartbeat heartbeat, std::optional<TimePoint> provenAt)
+{
+    const ConfigurationClaim &claim = heartbeat.configuration;
+    learn([&](const AdoptionView &view) {
+        return learnClaim(view, claim.epoch);
+    });
+    const auto known = committed();
+    if (!known || claim.epoch > known->epoch) {
+        const auto fetched = co_await m_use.peers.fetchCommitted(heartbeat.peerAddress);
+        if (fetched) {
+            learn([&](const AdoptionView &view) {
+                return learnCommitted(view, *fetched);
+            });
+        }
+        co_await bringIntoForce();
+    }
+    if (heartbeat.storeAge && provenAt) {
+        learn([&](const AdoptionView &view) {
+            return learnRelayedRead(view, claim.epoch, *provenAt - *heartbeat.storeAge);
+        });
+    }
+    const std::optional<KnownOffer> offer = view().offer;
+    const bool newOffer = claim.offerBase != RowVersion() && (!offer || offer->digest != claim.offerDigest);
+    if (newOffer) {
+        learn([&](const AdoptionView &view) {
+            return learnOffer(view, {claim.offerBase, claim.offerDigest, m_use.clock.now()});
+        });
+        const auto body = co_await findBody(claim.offerDigest);
+        if (body) {
+            (void)hold({claim.offerBase, claim.offerDigest, *body});
+        }
+    }
+}
+
+asio::awaitable<Result<std::string>> ConfigurationKeeper::findBody(Digest digest)
+{
+    Result<std::string> found = body(digest);
+    if (found) {
+        co_return found;
+    }
+    for (const MemberView &member : m_use.members.view(m_use.clock.now())) {
+        if (member.status != MemberStatus::Alive && member.status != MemberStatus::Draining) {
+            continue;
+        }
+        const ConfigurationClaim &claim = member.last.configuration;
+        const bool mayHave = (claim.digest == digest && claim.ready) || claim.offerDigest == digest;
+        if (!mayHave) {
+            continue;
+        }
+        found = co_await m_use.peers.fetchBody(member.last.peerAddress, digest);
+        if (found && digestOf(*found) == digest) {
+            co_return found;
+        }
+    }
+    found = co_await m_use.objects.get(digest);
+    if (found && digestOf(*found) != digest) {
+        co_return fail(ErrorId::MalformedMessage, "config.find_body", "object store", "the object does not have the digest it is named by");
+    }
+    co_return found;
+}
+
+asio::awaitable<void> ConfigurationKeeper::bringIntoForce()
+{
+    const auto target = committed();
+    const auto present = inForce();
+    if (!target || (present && present->committed.epoch >= target->epoch)) {
+        co_return;
+    }
+    const Result<std::string> text = co_await findBody(target->row.digest);
+    if (!text) {
+        m_use.metrics.increment(CounterFamily::Configurations, "body_missing");
+        LogEvent("config.body_missing", LogEvent::Level::Warning).field("version", target->row.version).error(text.error());
+        co_return;
+    }
+    const Result<Configuration> decoded = decodeConfiguration(*text, "object store");
+    if (!decoded) {
+        LogEvent("config.body_malformed", LogEvent::Level::Error).field("version", target->row.version).error(decoded.error());
+        co_return;
+    }
+    keepBody(target->row.digest, *text);
+    const auto adopted = std::make_shared<const ConfigurationInForce>(ConfigurationInForce{*target, *decoded});
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_inForce && m_inForce->committed.epoch >= target->epoch) {
+            co_return;
+        }
+        m_inForce = adopted;
+    }
+    const bool newVersion = !present || present->committed.row.version != target->row.version;
+    if (newVersion) {
+        explain(*target,
+            "row epoch " + std::to_string(target->epoch.value()),
+            "had version " + (present ? std::to_string(present->committed.row.version.value()) : std::string("none")),
+            "in_force");
+        applyInForce();
+    }
+}
+
+void ConfigurationKeeper::applyInForce()
+{
+    const std::lock_guard lock(m_applyMutex);
+    m_onChange(*inForce());
+}
+
+std::vector<Elector> ConfigurationKeeper::presentElectorate() const
+{
+    std::vector<Elector> electorate{{m_self.node, m_self.incarnation}};
+    for (const MemberView &member : m_use.members.view(m_use.clock.now())) {
+        if (member.status == MemberStatus::Alive && member.last.node != m_self.node) {
+            electorate.push_back({member.last.node, member.last.incarnation});
+        }
+    }
+    std::ranges::sort(electorate);
+    return electorate;
+}
+
+asio::awaitable<ConfigurationKeeper::Offering> ConfigurationKeeper::offerToMembers(std::vector<Elector> electorate, ConfigurationOffer offer)
+{
+    Offering offering;
+    if (hold(offer)) {
+        offering.holding.insert(m_self);
+    }
+    const TimePoint now = m_use.clock.now();
+    for (const MemberView &member : m_use.members.view(now)) {
+        const ProcessId process{member.last.node, member.last.incarnation};
+        if (member.status == MemberStatus::Gone || process.node == m_self.node) {
+            continue;
+        }
+        const Result<void> held = co_await m_use.peers.offer(member.last.peerAddress, offer);
+        if (held) {
+            offering.holding.insert(process);
+        }
+    }
+    for (const Elector &elector : electorate) {
+        const bool ownEarlier = elector.node == m_self.node && elector.incarnation < m_self.incarnation;
+        if (ownEarlier || m_use.members.ended(elector.node, elector.incarnation, now)) {
+            offering.ended.insert({elector.node, elector.incarnation});
+        }
+    }
+    co_return offering;
+}
+
+asio::awaitable<Result<CommittedConfiguration>> ConfigurationKeeper::writeRow(const CommittedConfiguration &base, ConfigurationRow row)
+{
+    const RowWrite write{rowKey(), base.epoch, encodeConfigurationRow(row), std::nullopt};
+    const WriteResult written = co_await writeSettled(m_use.table, m_use.clock, write);
+    const std::string peer = "table";
+    switch (written.outcome) {
+    case WriteOutcome::Written:
+        co_return CommittedConfiguration{written.version, row};
+    case WriteOutcome::Lost: {
+        const Result<ConfigurationRow> winner = decodeConfigurationRow(written.text);
+        const std::string version = winner ? std::to_string(winner->version.value()) : std::string("unknown");
+        co_return fail(ErrorId::Conflict, "config.commit", peer, "another change was accepted first; start again from version " + version);
+    }
+    case WriteOutcome::Overtaken:
+        co_return fail(ErrorId::OutcomeUnknown, "config.commit", peer, "later changes were accepted since; read the configuration in force", Delivery::MaybeSent);
+    case WriteOutcome::Unknown:
+        break;
+    }
+    co_return fail(ErrorId::OutcomeUnknown,
+        "config.commit",
+        peer,
+        "the table does not answer; ask `apricotarch config show` once it does: " + written.error.detail,
+        Delivery::MaybeSent);
+}
+
+asio::awaitable<void> ConfigurationKeeper::withdraw(CommittedConfiguration base)
+{
+    ConfigurationRow row = base.row;
+    row.attempt = AttemptId(uniqueId());
+    const Result<CommittedConfiguration> written = co_await writeRow(base, row);
+    m_use.metrics.increment(CounterFamily::Configurations, written ? "offer_withdrawn" : "withdrawal_not_written");
+    (void)co_await readRow();
+    co_await bringIntoForce();
+}
+
+asio::awaitable<Result<CommittedConfiguration>>
+ConfigurationKeeper::commit(CommittedConfiguration base, std::string body, Digest digest, bool newVersion)
+{
+    const ConfigurationOffer offer{base.epoch, digest, std::move(body)};
+    const Offering offering = co_await offerToMembers(base.row.electorate, offer);
+    if (!offerHasMajority(base.row.electorate, offering.holding, offering.ended)) {
+        co_await withdraw(base);
+        co_return fail(ErrorId::NoMajority,
+            "config.offer",
+            "",
+            std::to_string(offering.holding.size()) + " nodes hold the offer, which is no majority of the " + std::to_string(base.row.electorate.size())
+                + " that have to; nothing was accepted. Try again when more nodes are reachable.");
+    }
+    ConfigurationRow row;
+    row.version = newVersion ? base.row.version.next() : base.row.version;
+    row.digest = digest;
+    row.electorate = presentElectorate();
+    row.attempt = AttemptId(uniqueId());
+    const Result<CommittedConfiguration> written = co_await writeRow(base, row);
+    (void)co_await readRow();
+    co_await bringIntoForce();
+    co_return written;
+}
+
+asio::awaitable<Result<CommittedConfiguration>> ConfigurationKeeper::accept(Configuration configuration, ConfigurationVersion base)
+{
+    const auto row = co_await readRow();
+    if (!row) {
+        co_return Failure(row.error());
+    }
+    const CommittedConfiguration present = row->value_or(CommittedConfiguration());
+    if (present.row.version != base) {
+        co_return fail(ErrorId::Conflict,
+            "config.accept",
+            "table",
+            "the version in force is " + std::to_string(present.row.version.value()) + ", not " + std::to_string(base.value())
+                + "; look at what changed and submit with that base");
+    }
+    const std::string body = encodeConfiguration(configuration);
+    const Digest digest = digestOf(body);
+    const Result<void> stored = co_await m_use.objects.put(digest, body);
+    if (!stored) {
+        co_return Failure(stored.error());
+    }
+    const Result<CommittedConfiguration> accepted = co_await commit(present, body, digest, true);
+    if (accepted) {
+        explain(*accepted, "questionnaire submitted on version " + std::to_string(base.value()), "electorate=" + std::to_string(present.row.electorate.size()), "accepted");
+    } else {
+        m_use.metrics.increment(CounterFamily::Configurations, std::string("not_accepted_") + errorName(accepted.error().id));
+    }
+    co_return accepted;
+}
+
+asio::awaitable<void> ConfigurationKeeper::refreshElectorate()
+{
+    const auto row = co_await readRow();
+    const bool different = row && *row && (*row)->row.electorate != presentElectorate();
+    if (!different) {
+        co_return;
+    }
+    const CommittedConfiguration present = **row;
+    const Result<std::string> text = co_await findBody(present.row.digest);
+    if (!text) {
+        co_return;
+    }
+    const Result<CommittedConfiguration> refreshed = co_await commit(present, *text, present.row.digest, false);
+    m_use.metrics.increment(CounterFamily::Configurations, refreshed ? "electorate_refreshed" : "electorate_not_refreshed");
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/coordination/routing.cpp
@@ -0,0 +1,190 @@
+#include "apricotarch/coordination/routing.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr std::int64_t TokensPerPiece = 16;
+constexpr std::chrono::milliseconds OtherZoneCost{2};
+constexpr std::chrono::milliseconds NoPiecesCost{1000};
+constexpr std::chrono::milliseconds NearlyAsGood{5};
+constexpr int NearlyAsGoodPercent = 10;
+
+Duration seconds(double count)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
+}
+
+Duration timeFor(Tokens tokens, double rate)
+{
+    return rate > 0 ? seconds(static_cast<double>(tokens.value()) / rate) : Duration::zero();
+}
+
+int requestsAt(const ReplicaView &view)
+{
+    const int reported = view.report ? view.report->running + view.sinceReport.requests : 0;
+    return std::max(reported, view.own.requests + view.peers.requests);
+}
+
+/// Wait for a place in the batch, when every place is taken.
+Duration slotWait(const ReplicaView &view, const RouteRequest &request)
+{
+    const int waiting = requestsAt(view) - view.report->slots + 1;
+    if (waiting <= 0) {
+        return Duration::zero();
+    }
+    const Duration each = timeFor(request.output, view.report->decodeRate);
+    return each * waiting / std::max(view.report->slots, 1);
+}
+
+bool fitsIntoPieces(const ReplicaView &view, const RouteRequest &request)
+{
+    const Tokens needed = request.prompt + request.output + view.sinceReport.prompt + view.sinceReport.output;
+    return needed.value() <= view.report->freePieces.value() * TokensPerPiece;
+}
+
+class PredictedTimePolicy final : public RoutingPolicy
+{
+public:
+    [[nodiscard]] const char *name() const noexcept override
+    {
+        return "predicted_time";
+    }
+
+    [[nodiscard]] std::size_t choose(const std::vector<ReplicaView> &eligible, const RouteRequest &request, const RandomIndex &random) override
+    {
+        std::vector<Duration> costs;
+        for (const ReplicaView &view : eligible) {
+            const Duration distance = view.spec.zone == request.zone ? Duration::zero() : Duration(OtherZoneCost);
+            costs.push_back(predict(view, request).total + distance);
+        }
+        const Duration best = *std::ranges::min_element(costs);
+        const Duration accepted = best + best * NearlyAsGoodPercent / 100 + NearlyAsGood;
+        std::vector<std::size_t> good;
+        for (std::size_t index = 0; index < costs.size(); ++index) {
+            if (costs[index] <= accepted) {
+                good.push_back(index);
+            }
+        }
+        return good[random(good.size())];
+    }
+};
+
+class LeastOutstandingPolicy final : public RoutingPolicy
+{
+public:
+    [[nodiscard]] const char *name() const noexcept override
+    {
+        return "least_outstanding";
+    }
+
+    [[nodiscard]] std::size_t choose(const std::vector<ReplicaView> &eligible, const RouteRequest & /*request*/, const RandomIndex & /*random*/) override
+    {
+        const auto fewest = std::ranges::min_element(eligible, {}, [](const ReplicaView &view) {
+            return view.own.requests;
+        });
+        return static_cast<std::size_t>(fewest - eligible.begin());
+    }
+};
+
+class RoundRobinPolicy final : public RoutingPolicy
+{
+public:
+    [[nodiscard]] const char *name() const noexcept override
+    {
+        return "round_robin";
+    }
+
+    [[nodiscard]] std::size_t choose(const std::vector<ReplicaView> &eligible, const RouteRequest & /*request*/, const RandomIndex & /*random*/) override
+    {
+        return m_turn.fetch_add(1, std::memory_order_relaxed) % eligible.size();
+    }
+
+private:
+    std::atomic<std::size_t> m_turn = 0;
+};
+
+} // namespace
+
+bool servesFor(const ModelSpec &loaded, const ModelSpec &wanted) noexcept
+{
+    return loaded.model == wanted.model && loaded.adapter == wanted.adapter;
+}
+
+bool isEligible(const ReplicaView &view, const RouteRequest &request, TimePoint now)
+{
+    if (request.excluded.contains(view.spec.id) || view.vmLeaving || view.health == ReplicaHealth::Leaving) {
+        return false;
+    }
+    if (view.health == ReplicaHealth::Suspect && now < view.suspectUntil) {
+        return false;
+    }
+    if (request.model == ModelSpec()) {
+        return true;
+    }
+    return view.report && !view.report->changing && servesFor(view.report->state.model, request.model);
+}
+
+Prediction predict(const ReplicaView &view, const RouteRequest &request)
+{
+    if (!view.report) {
+        return {};
+    }
+    const Tokens queued = view.report->queuedPrefill + view.sinceReport.prompt + request.prompt;
+    Prediction prediction;
+    prediction.firstToken = timeFor(queued, view.report->prefillRate) + slotWait(view, request);
+    if (!fitsIntoPieces(view, request)) {
+        prediction.firstToken += NoPiecesCost;
+    }
+    prediction.total = prediction.firstToken + timeFor(request.output, view.report->decodeRate);
+    return prediction;
+}
+
+std::unique_ptr<RoutingPolicy> makePredictedTimePolicy()
+{
+    return std::make_unique<PredictedTimePolicy>();
+}
+
+std::unique_ptr<RoutingPolicy> makeLeastOutstandingPolicy()
+{
+    return std::make_unique<LeastOutstandingPolicy>();
+}
+
+std::unique_ptr<RoutingPolicy> makeRoundRobinPolicy()
+{
+    return std::make_unique<RoundRobinPolicy>();
+}
+
+std::unique_ptr<RoutingPolicy> makePolicy(const std::string &name)
+{
+    constexpr std::array Makers = {&makePredictedTimePolicy, &makeLeastOutstandingPolicy, &makeRoundRobinPolicy};
+    for (const auto &make : Makers) {
+        std::unique_ptr<RoutingPolicy> policy = make();
+        if (policy->name() == name) {
+            return policy;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<RouteChoice>
+route(RoutingPolicy &policy, const std::vector<ReplicaView> &replicas, const RouteRequest &request, TimePoint now, const RandomIndex &random)
+{
+    std::vector<ReplicaView> eligible;
+    std::ranges::copy_if(replicas, std::back_inserter(eligible), [&](const ReplicaView &view) {
+        return isEligible(view, request, now);
+    });
+    if (eligible.empty()) {
+        return std::nullopt;
+    }
+    const ReplicaView &chosen = eligible[policy.choose(eligible, request, random)];
+    return RouteChoice{chosen.spec, predict(chosen, request)};
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/protocol/yaml_map.cpp
@@ -0,0 +1,235 @@
+#include "apricotarch/protocol/yaml_map.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace apricotarch
+{
+
+namespace
+{
+
+int lineOf(const YAML::Node &node)
+{
+    return node.Mark().line + 1;
+}
+
+std::string join(const std::vector<std::string> &words)
+{
+    std::string joined;
+    for (const std::string &word : words) {
+        joined += joined.empty() ? word : ", " + word;
+    }
+    return joined;
+}
+
+std::optional<std::int64_t> toNumber(const std::string &text)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace
+
+YamlMap::YamlMap(YAML::Node node, std::string path, Faults &faults)
+    : m_node(std::move(node))
+    , m_path(std::move(path))
+    , m_faults(faults)
+{
+}
+
+std::string YamlMap::pathOf(const std::string &key) const
+{
+    return m_path.empty() ? key : m_path + '.' + key;
+}
+
+void YamlMap::fault(const std::string &key, std::string message)
+{
+    const YAML::Node node = child(key);
+    const int line = node.IsDefined() ? lineOf(node) : lineOf(m_node);
+    m_faults.push_back({line, pathOf(key), std::move(message)});
+}
+
+YAML::Node YamlMap::child(const std::string &key)
+{
+    m_read.insert(key);
+    if (!m_node.IsMap()) {
+        return YAML::Node(YAML::NodeType::Undefined);
+    }
+    return std::as_const(m_node)[key];
+}
+
+bool YamlMap::has(const std::string &key) const
+{
+    return m_node.IsMap() && m_node[key].IsDefined();
+}
+
+YAML::Node YamlMap::required(const std::string &key)
+{
+    YAML::Node node = child(key);
+    if (!node.IsDefined() || node.IsNull()) {
+        fault(key, "is missing");
+        return YAML::Node(YAML::NodeType::Undefined);
+    }
+    return node;
+}
+
+std::string YamlMap::text(const std::string &key)
+{
+    const YAML::Node node = required(key);
+    if (!node.IsDefined()) {
+        return {};
+    }
+    if (!node.IsScalar() || node.Scalar().empty()) {
+        fault(key, "must be a text that is not empty");
+        return {};
+    }
+    return node.Scalar();
+}
+
+std::string YamlMap::word(const std::string &key, const std::vector<std::string> &words)
+{
+    std::string value = text(key);
+    if (!value.empty() && std::ranges::find(words, value) == words.end()) {
+        fault(key, "must be one of: " + join(words));
+        return words.front();
+    }
+    return value.empty() ? words.front() : value;
+}
+
+std::int64_t YamlMap::number(const std::string &key, NumberRange range)
+{
+    const YAML::Node node = required(key);
+    if (!node.IsDefined()) {
+        return range.lowest;
+    }
+    const std::optional<std::int64_t> value = node.IsScalar() ? toNumber(node.Scalar()) : std::nullopt;
+    if (!value || *value < range.lowest || *value > range.highest) {
+        fault(key, "must be a whole number from " + std::to_string(range.lowest) + " to " + std::to_string(range.highest));
+        return range.lowest;
+    }
+    return *value;
+}
+
+bool YamlMap::flag(const std::string &key)
+{
+    const YAML::Node node = required(key);
+    if (!node.IsDefined()) {
+        return false;
+    }
+    if (!node.IsScalar() || (node.Scalar() != "true" && node.Scalar() != "false")) {
+        fault(key, "must be true or false");
+        return false;
+    }
+    return node.Scalar() == "true";
+}
+
+YamlMap YamlMap::map(const std::string &key)
+{
+    const YAML::Node node = required(key);
+    if (node.IsDefined() && !node.IsMap()) {
+        fault(key, "must hold keys with values");
+    }
+    return {node.IsDefined() ? node : YAML::Node(YAML::NodeType::Map), pathOf(key), m_faults};
+}
+
+std::vector<YamlMap> YamlMap::maps(const std::string &key)
+{
+    const YAML::Node node = required(key);
+    std::vector<YamlMap> found;
+    if (!node.IsDefined()) {
+        return found;
+    }
+    if (!node.IsSequence() || node.size() == 0) {
+        fault(key, "must be a list with at least one entry");
+        return found;
+    }
+    for (std::size_t index = 0; index < node.size(); ++index) {
+        const std::string path = pathOf(key) + '[' + std::to_string(index + 1) + ']';
+        if (!node[index].IsMap()) {
+            m_faults.push_back({lineOf(node[index]), path, "must hold keys with values"});
+            continue;
+        }
+        found.emplace_back(node[index], path, m_faults);
+    }
+    return found;
+}
+
+std::vector<std::string> YamlMap::texts(const std::string &key)
+{
+    const YAML::Node node = required(key);
+    std::vector<std::string> found;
+    if (!node.IsDefined()) {
+        return found;
+    }
+    if (!node.IsSequence() || node.size() == 0) {
+        fault(key, "must be a list with at least one entry");
+        return found;
+    }
+    for (const YAML::Node &entry : node) {
+        if (!entry.IsScalar() || entry.Scalar().empty()) {
+            m_faults.push_back({lineOf(entry), pathOf(key), "every entry must be a text that is not empty"});
+            continue;
+        }
+        found.push_back(entry.Scalar());
+    }
+    return found;
+}
+
+std::string YamlMap::textOr(const std::string &key, std::string fallback)
+{
+    return has(key) ? text(key) : std::move(fallback);
+}
+
+std::int64_t YamlMap::numberOr(const std::string &key, NumberRange range, std::int64_t fallback)
+{
+    return has(key) ? number(key, range) : fallback;
+}
+
+bool YamlMap::flagOr(const std::string &key, bool fallback)
+{
+    return has(key) ? flag(key) : fallback;
+}
+
+std::vector<YamlMap> YamlMap::mapsOr(const std::string &key)
+{
+    return has(key) ? maps(key) : std::vector<YamlMap>();
+}
+
+void YamlMap::refuseUnknown()
+{
+    if (!m_node.IsMap()) {
+        return;
+    }
+    std::set<std::string> seen;
+    for (const auto &entry : m_node) {
+        const std::string key = entry.first.Scalar();
+        if (!m_read.contains(key)) {
+            m_faults.push_back({lineOf(entry.first), pathOf(key), "is not a known key"});
+        }
+        if (!seen.insert(key).second) {
+            m_faults.push_back({lineOf(entry.first), pathOf(key), "stands twice"});
+        }
+    }
+}
+
+std::optional<YamlMap> parseYamlMap(const std::string &text, Faults &faults)
+{
+    try {
+        const YAML::Node root = YAML::Load(text);
+        if (root.IsMap()) {
+            return YamlMap(root, "", faults);
+        }
+        faults.push_back({1, "", "the file must hold keys with values"});
+    } catch (const YAML::Exception &exception) {
+        faults.push_back({exception.mark.line + 1, "", "not readable as YAML: " + exception.msg});
+    }
+    return std::nullopt;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/state/fleet.cpp
@@ -0,0 +1,160 @@
+#include "apricotarch/state/fleet.h"
+
+#include <algorithm>
+#include <set>
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds FirstPause{250};
+constexpr int MaxPauseDoublings = 5;
+
+void add(Outstanding &sum, Tokens prompt, Tokens output)
+{
+    ++sum.requests;
+    sum.prompt += prompt;
+    sum.output += output;
+}
+
+void subtract(Outstanding &sum, Tokens prompt, Tokens output)
+{
+    sum.requests = std::max(0, sum.requests - 1);
+    sum.prompt = std::max(Tokens(0), sum.prompt - prompt);
+    sum.output = std::max(Tokens(0), sum.output - output);
+}
+
+} // namespace
+
+Fleet::Shard &Fleet::shardOf(const ReplicaId &id)
+{
+    return m_shards.at(std::hash<ReplicaId>()(id) % ShardCount);
+}
+
+const Fleet::Shard &Fleet::shardOf(const ReplicaId &id) const
+{
+    return m_shards.at(std::hash<ReplicaId>()(id) % ShardCount);
+}
+
+template<typename Change>
+void Fleet::change(const ReplicaId &id, Change apply)
+{
+    Shard &shard = shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.replicas.find(id);
+    if (found != shard.replicas.end()) {
+        apply(found->second);
+    }
+}
+
+void Fleet::assign(const Configuration &configuration)
+{
+    std::set<ReplicaId> kept;
+    for (const ServiceSpec &service : configuration.services) {
+        for (const ReplicaSpec &spec : service.replicas) {
+            kept.insert(spec.id);
+            Shard &shard = shardOf(spec.id);
+            const std::lock_guard lock(shard.mutex);
+            ReplicaView &view = shard.replicas[spec.id];
+            view.spec = spec;
+            view.service = service.id;
+        }
+    }
+    for (Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        std::erase_if(shard.replicas, [&kept](const auto &entry) {
+            return !kept.contains(entry.first);
+        });
+    }
+}
+
+void Fleet::report(const ReplicaId &id, const LoadReport &report, TimePoint askedAt)
+{
+    change(id, [&](ReplicaView &view) {
+        view.report = report;
+        view.reportedAt = askedAt;
+        view.sinceReport = Outstanding();
+        view.health = report.leaving ? ReplicaHealth::Leaving : ReplicaHealth::Up;
+        view.failures = 0;
+    });
+}
+
+void Fleet::fail(const ReplicaId &id, TimePoint now)
+{
+    change(id, [now](ReplicaView &view) {
+        view.suspectUntil = now + FirstPause * (1 << std::min(view.failures, MaxPauseDoublings));
+        ++view.failures;
+        view.health = ReplicaHealth::Suspect;
+    });
+}
+
+void Fleet::setVmLeaving(const ReplicaId &id, bool leaving)
+{
+    change(id, [leaving](ReplicaView &view) {
+        view.vmLeaving = leaving;
+    });
+}
+
+void Fleet::setPeers(const ReplicaId &id, const Outstanding &outstanding)
+{
+    change(id, [&outstanding](ReplicaView &view) {
+        view.peers = outstanding;
+    });
+}
+
+void Fleet::dispatched(const ReplicaId &id, Tokens prompt, Tokens output)
+{
+    change(id, [&](ReplicaView &view) {
+        add(view.own, prompt, output);
+        add(view.sinceReport, prompt, output);
+    });
+}
+
+void Fleet::ended(const ReplicaId &id, Tokens prompt, Tokens output, bool answered)
+{
+    change(id, [&](ReplicaView &view) {
+        subtract(view.own, prompt, output);
+        subtract(view.sinceReport, prompt, output);
+        if (answered) {
+            view.failures = 0;
+        }
+    });
+}
+
+std::vector<ReplicaView> Fleet::replicas(const ServiceId &service) const
+{
+    std::vector<ReplicaView> found;
+    for (const ReplicaView &view : all()) {
+        if (view.service == service) {
+            found.push_back(view);
+        }
+    }
+    return found;
+}
+
+std::optional<ReplicaView> Fleet::replica(const ReplicaId &id) const
+{
+    const Shard &shard = shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.replicas.find(id);
+    if (found == shard.replicas.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::vector<ReplicaView> Fleet::all() const
+{
+    std::vector<ReplicaView> found;
+    for (const Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[id, view] : shard.replicas) {
+            found.push_back(view);
+        }
+    }
+    return found;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/state/members.cpp
@@ -0,0 +1,142 @@
+#include "apricotarch/state/members.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+/// Whether a beat is of the process last heard, or of a later one, and newer than the last beat taken.
+bool isNewer(const Heartbeat &beat, const Heartbeat &last)
+{
+    if (beat.incarnation != last.incarnation) {
+        return beat.incarnation > last.incarnation;
+    }
+    return beat.sequence > last.sequence;
+}
+
+} // namespace
+
+Members::Members(MemberTimes times)
+    : m_times(times)
+{
+}
+
+bool Members::hear(const Heartbeat &heartbeat, TimePoint now, std::optional<TimePoint> provenAt)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(heartbeat.node);
+    if (found == m_entries.end()) {
+        m_entries.emplace(heartbeat.node, Entry{heartbeat, now, provenAt});
+        return true;
+    }
+    const bool forgotten = now - found->second.heardAt > m_times.goneAfter;
+    if (!forgotten && !isNewer(heartbeat, found->second.last)) {
+        return false;
+    }
+    found->second = Entry{heartbeat, now, provenAt};
+    return true;
+}
+
+void Members::setVms(const std::vector<VmEntry> &vms, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, VmEntry> listed;
+    for (const VmEntry &vm : vms) {
+        listed.emplace(vm.id, vm);
+        m_removedAt.erase(vm.id);
+    }
+    for (const auto &[id, vm] : m_vms) {
+        if (!listed.contains(id)) {
+            m_removedAt.emplace(id, now);
+        }
+    }
+    m_vms = std::move(listed);
+}
+
+bool Members::removedFor(const std::string &id, TimePoint now, Duration duration) const
+{
+    const auto found = m_removedAt.find(id);
+    return found != m_removedAt.end() && now - found->second >= duration;
+}
+
+MemberView Members::viewOf(const Entry &entry, TimePoint now) const
+{
+    MemberView view{entry.last, entry.heardAt, entry.provenAt, MemberStatus::Alive, ""};
+    const auto as = [&view](MemberStatus status, std::string reason) {
+        view.status = status;
+        view.reason = std::move(reason);
+        return view;
+    };
+    const Duration silence = now - entry.heardAt;
+    const std::string silent = "not heard for " + std::to_string(toMilliseconds(silence)) + " ms";
+    if (silence > m_times.goneAfter) {
+        return as(MemberStatus::Gone, silent);
+    }
+    if (silence > m_times.suspectAfter) {
+        return as(MemberStatus::Suspect, silent);
+    }
+    const auto vm = m_vms.find(entry.last.node.value());
+    if (entry.last.draining) {
+        return as(MemberStatus::Draining, "says that it is shutting down");
+    }
+    if (vm != m_vms.end() && vm->second.leaving) {
+        return as(MemberStatus::Draining, "the VM list shows its VM as leaving");
+    }
+    return as(MemberStatus::Alive, "heard " + std::to_string(toMilliseconds(silence)) + " ms ago");
+}
+
+std::vector<MemberView> Members::view(TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<MemberView> views;
+    for (const auto &[id, entry] : m_entries) {
+        views.push_back(viewOf(entry, now));
+    }
+    return views;
+}
+
+std::optional<MemberView> Members::member(const NodeId &id, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return std::nullopt;
+    }
+    return viewOf(found->second, now);
+}
+
+bool Members::ended(const NodeId &node, Incarnation incarnation, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(node);
+    if (found != m_entries.end() && found->second.last.incarnation > incarnation) {
+        return true;
+    }
+    const bool silent = found == m_entries.end() || now - found->second.heardAt > m_times.removedAfter;
+    return silent && removedFor(node.value(), now, m_times.removedAfter);
+}
+
+bool Members::vmLeaving(const std::string &id) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_vms.find(id);
+    return found == m_vms.end() ? m_removedAt.contains(id) : found->second.leaving;
+}
+
+const char *memberStatusName(MemberStatus status) noexcept
+{
+    switch (status) {
+    case MemberStatus::Alive:
+        return "alive";
+    case MemberStatus::Draining:
+        return "draining";
+    case MemberStatus::Suspect:
+        return "suspect";
+    case MemberStatus::Gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/engine_client.cpp
@@ -0,0 +1,249 @@
+#include "apricotarch/transport/engine_client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "apricotarch/protocol/completion.h"
+#include "apricotarch/protocol/engine_codec.h"
+#include "apricotarch/protocol/event_stream.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int Busy = 429;
+constexpr int Unavailable = 503;
+constexpr const char *IncarnationHeader = "X-Engine-Incarnation";
+
+HttpRequest get(std::string path)
+{
+    HttpRequest request;
+    request.path = std::move(path);
+    return request;
+}
+
+HttpRequest postJson(const char *path, std::string body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.headers.add("Content-Type", "application/json");
+    request.body = std::move(body);
+    return request;
+}
+
+Incarnation incarnationOf(const HttpResponse &head)
+{
+    const std::string_view text = head.headers.value(IncarnationHeader);
+    std::int64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return Incarnation(value);
+}
+
+Failure notStarted(const HttpResponse &head, const ReplicaSpec &replica)
+{
+    const std::string peer = replica.address.text();
+    const std::string detail = "engine " + replica.id.value() + " answers with status " + std::to_string(head.status);
+    const bool refused = head.status == Conflict || head.status == Busy || head.status == Unavailable;
+    if (refused) {
+        return fail(ErrorId::Refused, "engine.open", peer, detail);
+    }
+    if (head.status == NotFound) {
+        return fail(ErrorId::NotFound, "engine.open", peer, detail);
+    }
+    return fail(ErrorId::UnexpectedStatus, "engine.open", peer, detail, Delivery::MaybeSent);
+}
+
+/// A stream on a connection of its own.
+class HttpEngineStream final : public EngineStream
+{
+public:
+    HttpEngineStream(std::unique_ptr<HttpConnection> connection, Incarnation incarnation, std::string peer)
+        : m_connection(std::move(connection))
+        , m_incarnation(incarnation)
+        , m_peer(std::move(peer))
+    {
+    }
+
+    [[nodiscard]] Incarnation incarnation() const noexcept override
+    {
+        return m_incarnation;
+    }
+
+    [[nodiscard]] asio::awaitable<Result<EnginePiece>> next(Duration timeout) override
+    {
+        while (true) {
+            const std::optional<ServerSentEvent> event = m_reader.next();
+            if (event) {
+                co_return decodeEnginePiece(event->data, m_peer);
+            }
+            const Result<std::string> bytes = co_await m_connection->readSome(timeout);
+            if (!bytes) {
+                co_return Failure(bytes.error());
+            }
+            if (bytes->empty()) {
+                co_return fail(ErrorId::ConnectionLost, "engine.next", m_peer, "the stream ended without a finish reason", Delivery::MaybeSent);
+            }
+            const Result<void> fed = m_reader.feed(*bytes);
+            if (!fed) {
+                co_return Failure(fed.error());
+            }
+        }
+    }
+
+private:
+    std::unique_ptr<HttpConnection> m_connection;
+    Incarnation m_incarnation;
+    std::string m_peer;
+    EventStreamReader m_reader;
+};
+
+/// A connection for orders.
+class HttpEngineChannel final : public EngineChannel
+{
+public:
+    HttpEngineChannel(std::unique_ptr<HttpConnection> connection, ReplicaSpec replica, Duration timeout)
+        : m_connection(std::move(connection))
+        , m_replica(std::move(replica))
+        , m_timeout(timeout)
+    {
+    }
+
+    [[nodiscard]] asio::awaitable<Result<LoadReport>> load() override
+    {
+        const auto response = co_await m_connection->exchange(get("/v1/load"), m_timeout);
+        if (!response) {
+            co_return Failure(response.error());
+        }
+        co_return decodeLoad(response->body, m_replica.address.text());
+    }
+
+    [[nodiscard]] asio::awaitable<Result<void>> send(EngineOrder order) override
+    {
+        const std::string peer = m_replica.address.text();
+        if (!m_connection->reusable() || m_connection->stale()) {
+            co_return fail(ErrorId::ConnectionLost, "order.send", peer, "the connection ended before the order was sent");
+        }
+        const auto response = co_await m_connection->exchange(postJson("/v1/orders", encodeEngineOrder(order)), m_timeout);
+        if (!response) {
+            co_return Failure(response.error());
+        }
+        if (response->success()) {
+            co_return Result<void>();
+        }
+        const ErrorId id = response->status == Conflict ? ErrorId::StaleToken : ErrorId::Refused;
+        co_return fail(id, "order.send", peer, "the engine refuses the order with status " + std::to_string(response->status));
+    }
+
+private:
+    std::unique_ptr<HttpConnection> m_connection;
+    ReplicaSpec m_replica;
+    Duration m_timeout;
+};
+
+} // namespace
+
+HttpEngineStreams::HttpEngineStreams(HttpClient &client, BackendTimes times)
+    : m_client(client)
+    , m_times(times)
+{
+}
+
+asio::awaitable<Result<std::unique_ptr<EngineStream>>> HttpEngineStreams::start(ReplicaSpec replica, HttpRequest request, Duration timeout)
+{
+    auto connection = co_await HttpConnection::connect(replica.address, std::min(timeout, m_times.connect));
+    if (!connection) {
+        co_return Failure(connection.error());
+    }
+    const auto head = co_await (*connection)->open(std::move(request), timeout);
+    if (!head) {
+        co_return Failure(head.error());
+    }
+    if (!head->success()) {
+        co_return notStarted(*head, replica);
+    }
+    std::unique_ptr<EngineStream> stream = std::make_unique<HttpEngineStream>(std::move(*connection), incarnationOf(*head), replica.address.text());
+    co_return stream;
+}
+
+asio::awaitable<Result<std::unique_ptr<EngineStream>>> HttpEngineStreams::open(ReplicaSpec replica, EngineRequest request, Duration timeout)
+{
+    co_return co_await start(std::move(replica), postJson("/v1/completions", encodeEngineRequest(request)), timeout);
+}
+
+asio::awaitable<Result<std::unique_ptr<EngineStream>>>
+HttpEngineStreams::resume(ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout)
+{
+    HttpRequest request = get("/v1/streams/" + stream);
+    request.query = "from=" + std::to_string(offset);
+    co_return co_await start(std::move(replica), std::move(request), timeout);
+}
+
+asio::awaitable<void> HttpEngineStreams::cancel(ReplicaSpec replica, std::string stream, bool onlyIfDetached)
+{
+    HttpRequest request;
+    request.method = "DELETE";
+    request.path = "/v1/streams/" + stream;
+    request.query = onlyIfDetached ? "if_detached=true" : "";
+    (void)co_await m_client.exchange(replica.address, std::move(request), m_times.control);
+}
+
+asio::awaitable<Result<LoadReport>> HttpEngineStreams::load(ReplicaSpec replica)
+{
+    const auto response = co_await m_client.exchange(replica.address, get("/v1/load"), m_times.control);
+    if (!response) {
+        co_return Failure(response.error());
+    }
+    co_return decodeLoad(response->body, replica.address.text());
+}
+
+HttpEngineConnector::HttpEngineConnector(BackendTimes times)
+    : m_times(times)
+{
+}
+
+asio::awaitable<Result<std::unique_ptr<EngineChannel>>> HttpEngineConnector::connect(ReplicaSpec replica)
+{
+    auto connection = co_await HttpConnection::connect(replica.address, m_times.connect);
+    if (!connection) {
+        co_return Failure(connection.error());
+    }
+    std::unique_ptr<EngineChannel> channel = std::make_unique<HttpEngineChannel>(std::move(*connection), std::move(replica), m_times.control);
+    co_return channel;
+}
+
+HttpReplicaCaller::HttpReplicaCaller(BackendTimes times)
+    : m_times(times)
+{
+}
+
+asio::awaitable<Result<CallResult>> HttpReplicaCaller::call(ReplicaSpec replica, ReplicaCall call, Duration timeout)
+{
+    auto connection = co_await HttpConnection::connect(replica.address, std::min(timeout, m_times.connect));
+    if (!connection) {
+        co_return Failure(connection.error());
+    }
+    HttpRequest request;
+    request.method = call.method;
+    request.path = call.path;
+    request.query = call.query;
+    request.body = std::move(call.body);
+    if (!call.contentType.empty()) {
+        request.headers.add("Content-Type", call.contentType);
+    }
+    if (!call.idempotencyKey.empty()) {
+        request.headers.add("Idempotency-Key", call.idempotencyKey);
+    }
+    const auto response = co_await (*connection)->exchange(std::move(request), timeout);
+    if (!response) {
+        co_return Failure(response.error());
+    }
+    co_return CallResult{response->status, std::string(response->headers.value("Content-Type")), response->body};
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/http_message.cpp
@@ -0,0 +1,55 @@
+#include "apricotarch/transport/http_message.h"
+
+#include <utility>
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace apricotarch
+{
+
+HttpHeaders::HttpHeaders(std::initializer_list<HttpHeader> lines)
+    : m_lines(lines)
+{
+}
+
+void HttpHeaders::add(std::string name, std::string value)
+{
+    m_lines.push_back({std::move(name), std::move(value)});
+}
+
+std::string_view HttpHeaders::value(std::string_view name) const noexcept
+{
+    for (const HttpHeader &line : m_lines) {
+        if (boost::algorithm::iequals(line.name, name, std::locale::classic())) {
+            return line.value;
+        }
+    }
+    return {};
+}
+
+const std::vector<HttpHeader> &HttpHeaders::lines() const noexcept
+{
+    return m_lines;
+}
+
+std::string_view HttpRequest::parameter(std::string_view name) const noexcept
+{
+    std::string_view rest = query;
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        const std::size_t equals = pair.find('=');
+        if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+            return pair.substr(equals + 1);
+        }
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    return {};
+}
+
+HttpResponse jsonResponse(int status, std::string body)
+{
+    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,322 @@
+#include "apricotarch/transport/http_server.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "apricotarch/protocol/problem.h"
+
+namespace apricotarch
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto Complete = asio::use_awaitable;
+
+Result<void> toResult(const beast::error_code &code, const char *step, const std::string &peer)
+{
+    if (!code) {
+        return {};
+    }
+    const ErrorId id = code == beast::error::timeout ? ErrorId::TimedOut : ErrorId::ConnectionLost;
+    return fail(id, step, peer, code.message(), Delivery::MaybeSent);
+}
+
+template<typename Message>
+void setHeaders(Message &message, const HttpHeaders &headers)
+{
+    for (const HttpHeader &line : headers.lines()) {
+        message.set(line.name, line.value);
+    }
+}
+
+HttpRequest toRequest(http::request<http::string_body> message, std::string peer)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    const std::string target(message.target());
+    const std::size_t mark = target.find('?');
+    request.path = target.substr(0, mark);
+    request.query = mark == std::string::npos ? std::string() : target.substr(mark + 1);
+    for (const auto &line : message) {
+        request.headers.add(std::string(line.name_string()), std::string(line.value()));
+    }
+    request.body = std::move(message.body());
+    request.peer = std::move(peer);
+    return request;
+}
+
+/// Answers one request on a Beast stream.
+class BeastResponder final : public HttpResponder
+{
+public:
+    BeastResponder(beast::tcp_stream &stream, std::string peer, std::chrono::milliseconds writeTimeout, bool keepAlive)
+        : m_stream(stream)
+        , m_peer(std::move(peer))
+        , m_writeTimeout(writeTimeout)
+        , m_keepAlive(keepAlive)
+    {
+    }
+
+    asio::awaitable<Result<void>> respond(HttpResponse response) override
+    {
+        http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+        setHeaders(message, response.headers);
+        message.keep_alive(m_keepAlive);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        m_started = true;
+        m_stream.expires_after(m_writeTimeout);
+        beast::error_code code;
+        co_await http::async_write(m_stream, message, asio::redirect_error(Complete, code));
+        co_return note(code, "http.respond");
+    }
+
+    asio::awaitable<Result<void>> beginStream(int status, HttpHeaders headers) override
+    {
+        http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+        setHeaders(message, headers);
+        message.keep_alive(m_keepAlive);
+        message.chunked(true);
+        m_started = true;
+        http::response_serializer<http::empty_body> serializer(message);
+        m_stream.expires_after(m_writeTimeout);
+        beast::error_code code;
+        co_await http::async_write_header(m_stream, serializer, asio::redirect_error(Complete, code));
+        co_return note(code, "http.begin_stream");
+    }
+
+    asio::awaitable<Result<void>> write(std::string_view chunk) override
+    {
+        m_stream.expires_after(m_writeTimeout);
+        beast::error_code code;
+        const asio::const_buffer buffer(chunk.data(), chunk.size());
+        co_await asio::async_write(m_stream, http::make_chunk(buffer), asio::redirect_error(Complete, code));
+        co_return note(code, "http.write");
+    }
+
+    asio::awaitable<Result<void>> endStream() override
+    {
+        m_stream.expires_after(m_writeTimeout);
+        beast::error_code code;
+        co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(Complete, code));
+        co_return note(code, "http.end_stream");
+    }
+
+    void abort() noexcept override
+    {
+        m_keepAlive = false;
+        beast::error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+    [[nodiscard]] bool keepAlive() const noexcept
+    {
+        return m_keepAlive && m_started;
+    }
+
+    [[nodiscard]] bool started() const noexcept
+    {
+        return m_started;
+    }
+
+private:
+    Result<void> note(const beast::error_code &code, const char *step)
+    {
+        if (code) {
+            m_keepAlive = false;
+        }
+        return toResult(code, step, m_peer);
+    }
+
+    beast::tcp_stream &m_stream;
+    std::string m_peer;
+    std::chrono::milliseconds m_writeTimeout;
+    bool m_keepAlive;
+    bool m_started = false;
+};
+
+/// The problem that answers a request which cannot be read; status 0 where no answer is due.
+Problem unreadable(const beast::error_code &code)
+{
+    Problem problem{.status = 400, .reason = "malformed_request", .detail = "", .notRun = true, .step = "http.read", .peer = "", .retryAfter = {}};
+    problem.detail = "The request cannot be read as HTTP/1.1: " + code.message() + ". Nothing of it was run.";
+    if (code == http::error::header_limit) {
+        problem.status = 431;
+        problem.reason = "header_too_large";
+    } else if (code == http::error::body_limit) {
+        problem.status = 413;
+        problem.reason = "body_too_large";
+    } else if (code == beast::error::timeout) {
+        problem.status = 408;
+        problem.reason = "slow_sender";
+    } else if (code.category() != make_error_code(http::error::bad_method).category() || code == http::error::end_of_stream) {
+        problem.status = 0;
+    }
+    return problem;
+}
+
+HttpResponse toResponse(const Problem &problem)
+{
+    return {problem.status, {{"Content-Type", std::string(ProblemMediaType)}}, encodeProblem(problem)};
+}
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+    Impl(Workers &owner, HttpServerLimits accepted, HttpHandler called)
+        : workers(owner)
+        , limits(accepted)
+        , handler(std::move(called))
+        , acceptor(owner.first())
+    {
+    }
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(tcp::socket socket);
+    asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &peer);
+    asio::awaitable<void> refuse(beast::tcp_stream &stream, const std::string &peer, const Problem &problem) const;
+
+    Workers &workers;
+    HttpServerLimits limits;
+    HttpHandler handler;
+    tcp::acceptor acceptor;
+    std::atomic<bool> stopping = false;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<std::size_t> active = 0;
+};
+
+asio::awaitable<void> HttpServer::Impl::accept()
+{
+    const auto self = shared_from_this();
+    while (!stopping) {
+        tcp::socket socket(workers.next());
+        beast::error_code code;
+        co_await acceptor.async_accept(socket, asio::redirect_error(Complete, code));
+        if (code == asio::error::operation_aborted) {
+            break;
+        }
+        if (code) {
+            continue;
+        }
+        const asio::any_io_executor executor = socket.get_executor();
+        asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> HttpServer::Impl::refuse(beast::tcp_stream &stream, const std::string &peer, const Problem &problem) const
+{
+    BeastResponder responder(stream, peer, limits.writeTimeout, false);
+    (void)co_await responder.respond(toResponse(problem));
+}
+
+asio::awaitable<bool> HttpServer::Impl::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &peer)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    stream.expires_after(limits.requestTimeout);
+    beast::error_code code;
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(Complete, code));
+    if (code) {
+        const Problem problem = unreadable(code);
+        if (problem.status != 0 && (parser.got_some() || buffer.size() > 0)) {
+            co_await refuse(stream, peer, problem);
+        }
+        co_return false;
+    }
+    const bool keepAlive = parser.get().keep_alive() && !stopping;
+    const HttpRequest request = toRequest(parser.release(), peer);
+    BeastResponder responder(stream, peer, limits.writeTimeout, keepAlive);
+    ++active;
+    stream.expires_never();
+    co_await handler(request, responder);
+    --active;
+    co_return responder.keepAlive() && !stopping;
+}
+
+asio::awaitable<void> HttpServer::Impl::serve(tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    beast::error_code code;
+    socket.set_option(tcp::no_delay(true), code);
+    const tcp::endpoint remote = socket.remote_endpoint(code);
+    const std::string peer = remote.address().to_string() + ':' + std::to_string(remote.port());
+    beast::tcp_stream stream(std::move(socket));
+    if (connections.fetch_add(1) >= limits.connections) {
+        Problem problem{.status = 503, .reason = "too_many_connections", .detail = "", .notRun = true, .step = "http.accept", .peer = peer, .retryAfter = {}};
+        problem.detail = "This node holds as many connections as its settings allow. Ask GET /v1/entry at another node.";
+        co_await refuse(stream, peer, problem);
+    } else {
+        beast::flat_buffer buffer;
+        while (co_await serveOne(stream, buffer, peer)) {
+        }
+    }
+    --connections;
+    stream.socket().shutdown(tcp::socket::shutdown_both, code);
+}
+
+HttpServer::HttpServer(Workers &workers, HttpServerLimits limits, HttpHandler handler)
+    : m_impl(std::make_shared<Impl>(workers, limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+Result<void> HttpServer::listen(const Endpoint &endpoint)
+{
+    beast::error_code code;
+    const tcp::endpoint address(asio::ip::make_address(endpoint.host, code), endpoint.port);
+    const auto attempt = [&code](auto operation) {
+        if (!code) {
+            operation();
+        }
+    };
+    tcp::acceptor &acceptor = m_impl->acceptor;
+    attempt([&] { acceptor.open(address.protocol(), code); });
+    attempt([&] { acceptor.set_option(asio::socket_base::reuse_address(true), code); });
+    attempt([&] { acceptor.bind(address, code); });
+    attempt([&] { acceptor.listen(asio::socket_base::max_listen_connections, code); });
+    if (code) {
+        return fail(ErrorId::ListenFailed,
+            "http.listen",
+            endpoint.text(),
+            code.message() + "; check that no other process uses the address and that it is one of this VM's");
+    }
+    asio::co_spawn(acceptor.get_executor(), m_impl->accept(), asio::detached);
+    return {};
+}
+
+void HttpServer::stopAccepting()
+{
+    if (m_impl->stopping.exchange(true)) {
+        return;
+    }
+    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
+        beast::error_code ignored;
+        impl->acceptor.close(ignored);
+    });
+}
+
+std::size_t HttpServer::activeRequests() const noexcept
+{
+    return m_impl->active;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/platform_client.cpp
@@ -0,0 +1,182 @@
+#include "apricotarch/transport/platform_client.h"
+
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "apricotarch/base/json_object.h"
+
+namespace apricotarch
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int RateLimited = 429;
+
+HttpRequest post(const char *path, const json::object &body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.headers.add("Content-Type", "application/json");
+    request.body = json::serialize(body);
+    return request;
+}
+
+/// An answer that is not the one hoped for. A rate-limited request was certainly not run.
+Failure unavailable(const HttpResponse &response, const char *step, const Endpoint &peer)
+{
+    const Delivery delivery = response.status == RateLimited ? Delivery::NotSent : Delivery::MaybeSent;
+    return fail(ErrorId::StoreUnavailable, step, peer.text(), "the platform answers with status " + std::to_string(response.status), delivery);
+}
+
+Failure unreachable(Error error, const char *step)
+{
+    error.id = ErrorId::StoreUnavailable;
+    error.step = step;
+    return Failure(std::move(error));
+}
+
+} // namespace
+
+PlatformTable::PlatformTable(HttpClient &client, PlatformAccess access)
+    : m_client(client)
+    , m_access(std::move(access))
+{
+}
+
+asio::awaitable<Result<std::optional<Row>>> PlatformTable::read(RowKey key)
+{
+    constexpr const char *Step = "table.read";
+    const json::object body{{"table", key.table}, {"key", key.key}};
+    const auto response = co_await m_client.exchange(m_access.endpoint, post("/v1/rows/read", body), m_access.timeout);
+    if (!response) {
+        co_return unreachable(response.error(), Step);
+    }
+    if (response->status == NotFound) {
+        co_return std::optional<Row>();
+    }
+    if (!response->success()) {
+        co_return unavailable(*response, Step, m_access.endpoint);
+    }
+    const auto value = parseJson(response->body, Step, m_access.endpoint.text());
+    if (!value) {
+        co_return Failure(value.error());
+    }
+    JsonObject object(*value, Step, m_access.endpoint.text());
+    Row row{RowVersion(object.number("version")), object.text("text")};
+    co_return object.finish(std::optional<Row>(std::move(row)));
+}
+
+asio::awaitable<Result<RowVersion>> PlatformTable::write(RowWrite write)
+{
+    constexpr const char *Step = "table.write";
+    json::object body{{"table", write.key.table}, {"key", write.key.key}, {"expected", write.expected.value()}, {"text", write.text}};
+    if (write.guard) {
+        body["guard"] = json::object{
+            {"table", write.guard->key.table}, {"key", write.guard->key.key}, {"version", write.guard->version.value()}};
+    }
+    const auto response = co_await m_client.exchange(m_access.endpoint, post("/v1/rows/write", body), m_access.timeout);
+    if (!response) {
+        co_return unreachable(response.error(), Step);
+    }
+    if (response->status == Conflict) {
+        co_return fail(ErrorId::Conflict, Step, m_access.endpoint.text(), "a condition of the write does not hold");
+    }
+    if (!response->success()) {
+        co_return unavailable(*response, Step, m_access.endpoint);
+    }
+    const auto value = parseJson(response->body, Step, m_access.endpoint.text());
+    if (!value) {
+        co_return unavailable(*response, Step, m_access.endpoint);
+    }
+    JsonObject object(*value, Step, m_access.endpoint.text());
+    const RowVersion version(object.number("version"));
+    if (!object.finish()) {
+        co_return unavailable(*response, Step, m_access.endpoint);
+    }
+    co_return version;
+}
+
+PlatformObjects::PlatformObjects(HttpClient &client, PlatformAccess access)
+    : m_client(client)
+    , m_access(std::move(access))
+{
+}
+
+asio::awaitable<Result<std::string>> PlatformObjects::get(Digest digest)
+{
+    constexpr const char *Step = "objects.get";
+    HttpRequest request;
+    request.path = "/v1/objects/" + digest.value();
+    const auto response = co_await m_client.exchange(m_access.endpoint, std::move(request), m_access.timeout);
+    if (!response) {
+        co_return unreachable(response.error(), Step);
+    }
+    if (response->status == NotFound) {
+        co_return fail(ErrorId::NotFound, Step, m_access.endpoint.text(), "no object " + digest.value());
+    }
+    if (!response->success()) {
+        co_return unavailable(*response, Step, m_access.endpoint);
+    }
+    co_return response->body;
+}
+
+asio::awaitable<Result<void>> PlatformObjects::put(Digest digest, std::string body)
+{
+    constexpr const char *Step = "objects.put";
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/v1/objects/" + digest.value();
+    request.body = std::move(body);
+    const auto response = co_await m_client.exchange(m_access.endpoint, std::move(request), m_access.timeout);
+    if (!response) {
+        co_return unreachable(response.error(), Step);
+    }
+    if (!response->success()) {
+        co_return unavailable(*response, Step, m_access.endpoint);
+    }
+    co_return Result<void>();
+}
+
+PlatformVmList::PlatformVmList(HttpClient &client, PlatformAccess access)
+    : m_client(client)
+    , m_access(std::move(access))
+{
+}
+
+asio::awaitable<Result<std::vector<VmEntry>>> PlatformVmList::list()
+{
+    constexpr const char *Step = "vms.list";
+    HttpRequest request;
+    request.path = "/v1/vms";
+    const auto response = co_await m_client.exchange(m_access.endpoint, std::move(request), m_access.timeout);
+    if (!response) {
+        co_return unreachable(response.error(), Step);
+    }
+    if (!response->success()) {
+        co_return unavailable(*response, Step, m_access.endpoint);
+    }
+    const auto value = parseJson(response->body, Step, m_access.endpoint.text());
+    if (!value) {
+        co_return Failure(value.error());
+    }
+    JsonObject object(*value, Step, m_access.endpoint.text());
+    std::vector<VmEntry> entries;
+    for (const json::value &item : object.list("vms")) {
+        JsonObject vm(item, Step, m_access.endpoint.text());
+        entries.push_back({vm.text("id"), vm.text("state") == "leaving"});
+        if (!vm.finish()) {
+            object.fault("vms", "a list of objects with 'id' and 'state'");
+        }
+    }
+    co_return object.finish(std::move(entries));
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/workers.cpp
@@ -0,0 +1,51 @@
+#include "apricotarch/transport/workers.h"
+
+#include <algorithm>
+
+namespace apricotarch
+{
+
+Workers::Workers(std::size_t count)
+{
+    for (std::size_t index = 0; index < std::max<std::size_t>(count, 1); ++index) {
+        m_contexts.push_back(std::make_unique<boost::asio::io_context>(1));
+        m_guards.push_back(boost::asio::make_work_guard(*m_contexts.back()));
+    }
+}
+
+Workers::~Workers()
+{
+    stop();
+}
+
+void Workers::start()
+{
+    for (const auto &context : m_contexts) {
+        m_threads.emplace_back([&loop = *context] {
+            loop.run();
+        });
+    }
+}
+
+void Workers::stop()
+{
+    for (const auto &context : m_contexts) {
+        context->stop();
+    }
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+}
+
+boost::asio::io_context &Workers::first() noexcept
+{
+    return *m_contexts.front();
+}
+
+boost::asio::io_context &Workers::next() noexcept
+{
+    return *m_contexts[m_turn.fetch_add(1, std::memory_order_relaxed) % m_contexts.size()];
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/standins/platform_store.cpp
@@ -0,0 +1,119 @@
+#include "platform_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace apricotarch::standins
+{
+
+bool PlatformStore::Bucket::take(double rate, TimePoint now)
+{
+    if (rate <= 0) {
+        return true;
+    }
+    const double filled = std::chrono::duration<double>(now - at).count() * rate;
+    tokens = at == TimePoint() ? rate : std::min(rate, tokens + filled);
+    at = now;
+    if (tokens < 1) {
+        return false;
+    }
+    tokens -= 1;
+    return true;
+}
+
+PlatformStore::PlatformStore(const Clock &clock, PlatformLimits limits)
+    : m_clock(clock)
+    , m_limits(limits)
+{
+}
+
+RowVersion PlatformStore::versionOf(const RowKey &key) const
+{
+    const auto found = m_rows.find(key);
+    return found == m_rows.end() ? RowVersion() : found->second.version;
+}
+
+std::optional<Row> PlatformStore::read(const RowKey &key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_rows.find(key);
+    return found == m_rows.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool PlatformStore::takeRead()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_readBucket.take(m_limits.readsPerSecond, m_clock.now());
+}
+
+StoreOutcome PlatformStore::write(const RowWrite &write, RowVersion &version)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_writeBucket.take(m_limits.writesPerSecond, m_clock.now())) {
+        return StoreOutcome::RateLimited;
+    }
+    const bool guardHolds = !write.guard || versionOf(write.guard->key) == write.guard->version;
+    if (versionOf(write.key) != write.expected || !guardHolds) {
+        return StoreOutcome::Conflict;
+    }
+    version = write.expected.next();
+    m_rows[write.key] = {version, write.text};
+    ++m_writes;
+    return StoreOutcome::Done;
+}
+
+std::optional<std::string> PlatformStore::object(const std::string &name) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_objects.find(name);
+    return found == m_objects.end() ? std::nullopt : std::optional(found->second);
+}
+
+void PlatformStore::putObject(const std::string &name, std::string body)
+{
+    const std::lock_guard lock(m_mutex);
+    m_objects[name] = std::move(body);
+}
+
+void PlatformStore::setVms(std::vector<VmEntry> vms, std::chrono::milliseconds lag)
+{
+    const std::lock_guard lock(m_mutex);
+    m_nextVms = std::move(vms);
+    m_vmsChangeAt = m_clock.now() + lag;
+}
+
+std::vector<VmEntry> PlatformStore::vms() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_clock.now() >= m_vmsChangeAt ? m_nextVms : m_vms;
+}
+
+void PlatformStore::setFaults(const PlatformFaults &faults)
+{
+    const std::lock_guard lock(m_mutex);
+    m_faults = faults;
+}
+
+PlatformFaults PlatformStore::faults() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults;
+}
+
+bool PlatformStore::loseThisAnswer()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_faults.loseAnswers <= 0) {
+        return false;
+    }
+    --m_faults.loseAnswers;
+    return true;
+}
+
+std::int64_t PlatformStore::writes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_writes;
+}
+
+} // namespace apricotarch::standins
