Roll a version out: count the pause between orders from sent orders only

Cause: CellKeeper took every look that ended in Issue for a sent order, so its pause between loads never ended.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -77,7 +77,8 @@
 check "a second operator on the old base is refused" \
     test "$("$build/apricotarch" questionnaire submit examples/habimana/questionnaire.yaml --base 0 --node 127.0.0.1:17012 >/dev/null 2>&1; echo $?)" = 1
 check "the engines are seen up" until_true 5 engines_up
-check "an entry answer names all nodes" test "$(curl -s http://127.0.0.1:17011/v1/entry?zone=kigali-b | grep -o '127.0.0.1:1701[123]' | sort -u | wc -l)" = 3
+names_all() { [ "$(curl -s http://127.0.0.1:17011/v1/entry?zone=kigali-b | grep -o '127.0.0.1:1701[123]' | sort -u | wc -l)" = 3 ]; }
+check "an entry answer names all nodes" until_true 5 names_all
 
 echo "--- a furrow plan, streamed"
 body='{"model":"dressing-advice","prompt":"stone four grinds hot since the last dressing","max_tokens":40,"stream":true}'
--- a/src/coordination/cell_keeper.cpp
+++ b/src/coordination/cell_keeper.cpp
@@ -142,7 +142,8 @@
         LogEvent("order.step_failed", LogEvent::Level::Warning).field("engine", engine.id).error(step.error());
         co_return;
     }
-    if (*step == OrderStep::Issue || *step == OrderStep::Adopt) {
+    const bool sent = maySend && (*step == OrderStep::Issue || *step == OrderStep::Adopt);
+    if (sent) {
         m_lastOrderAt = m_clock.now();
     }
     const bool settled = *step == OrderStep::Idle || *step == OrderStep::Close || *step == OrderStep::Blocked;
