--- a/include/apricotarch/coordination/order.h
+++ b/include/apricotarch/coordination/order.h
@@ -123,6 +123,8 @@
 
     [[nodiscard]] asio::awaitable<Result<Look>> look(const ReplicaSpec &replica, const EngineTarget &wanted, const Authority &authority);
     [[nodiscard]] asio::awaitable<Result<OrderStep>> writeAndSend(const ReplicaSpec &replica, Look look, OrderStep step);
+    /// Writes under the lease's guard, and again where only this process's own renewal came between.
+    [[nodiscard]] asio::awaitable<WriteResult> writeGuarded(RowWrite write, FencingToken token);
     [[nodiscard]] asio::awaitable<void> forgetSender(const RowKey &key, OrderRow row, RowVersion version, FencingToken fence);
     void explain(const ReplicaSpec &replica, const OrderSituation &situation, const char *chosen);
 
--- a/src/coordination/order.cpp
+++ b/src/coordination/order.cpp
@@ -245,12 +245,11 @@
     const OrderRow row = step == OrderStep::Issue ? issueRow(look.situation, m_self, attempt)
         : step == OrderStep::Adopt                ? adoptRow(look.situation, m_self, attempt)
                                                   : closeRow(look.situation, attempt);
-    const std::optional<Authority> authority = m_lease.authority();
-    if (!authority || authority->token != look.situation.leaseToken) {
+    const RowWrite intent{key, look.version, encodeOrder(row), std::nullopt};
+    const WriteResult written = co_await writeGuarded(intent, look.situation.leaseToken);
+    if (written.outcome != WriteOutcome::Written && !m_lease.authority()) {
         co_return notHolder(replica);
     }
-    const RowWrite intent{key, look.version, encodeOrder(row), authority->lease};
-    const WriteResult written = co_await writeSettled(m_table, m_clock, intent);
     if (written.outcome != WriteOutcome::Written) {
         m_metrics.increment(CounterFamily::Orders, "intent_not_written");
         co_return fail(ErrorId::Conflict, "order.write_intent", replica.id.value(), "the intent was not written; the next round looks again");
@@ -276,6 +275,24 @@
     co_return step;
 }
 
+asio::awaitable<WriteResult> OrderKeeper::writeGuarded(RowWrite write, FencingToken token)
+{
+    WriteResult written;
+    written.outcome = WriteOutcome::Lost;
+    std::optional<RowVersion> guarded;
+    while (written.outcome == WriteOutcome::Lost) {
+        const std::optional<Authority> authority = m_lease.authority();
+        const bool renewedSince = authority && authority->token == token && authority->lease.version != guarded;
+        if (!renewedSince || (guarded && written.version != write.expected)) {
+            break;
+        }
+        guarded = authority->lease.version;
+        write.guard = authority->lease;
+        written = co_await writeSettled(m_table, m_clock, write);
+    }
+    co_return written;
+}
+
 asio::awaitable<void> OrderKeeper::forgetSender(const RowKey &key, OrderRow row, RowVersion version, FencingToken fence)
 {
     constexpr int Attempts = 3;
