--- a/tests/src/unit-history.cpp
+++ b/tests/src/unit-history.cpp
@@ -133,6 +133,7 @@
         m_bench.start(crashEngines());
         m_bench.pass(90s, [this] {
             checkAuthority();
+            checkIntents();
         });
         m_running = false;
         m_bench.pass(60s);
@@ -196,6 +197,21 @@
         BOOST_REQUIRE_LE(holders, 1);
     }
 
+    /// A new order is written only under the lease that is in the table at that moment.
+    void checkIntents()
+    {
+        for (std::size_t index = 0; index < EngineCount; ++index) {
+            const std::optional<Row> row = m_store.read({"order", replica(index).id.value()});
+            const OrderRow order = row ? decodeOrder(row->text).value() : OrderRow();
+            if (order.number == m_lastNumbers.at(index)) {
+                continue;
+            }
+            m_lastNumbers.at(index) = order.number;
+            const LeaseRow lease = decodeLease(m_store.read({"lease", "cell"})->text).value();
+            BOOST_REQUIRE_EQUAL(order.leaseToken, lease.token);
+        }
+    }
+
     static void checkOrders(const FakeEngine &engine)
     {
         std::map<OrderNumber, EngineTarget> targets;
@@ -217,6 +233,7 @@
     FakeConnector m_connector;
     std::array<std::unique_ptr<FakeEngine>, EngineCount> m_engines;
     std::array<std::unique_ptr<HistoryNode>, NodeCount> m_nodes;
+    std::array<OrderNumber, EngineCount> m_lastNumbers;
     bool m_running = true;
     int m_wish = 0;
 };
