--- a/include/apricotarch/app/caller_api.h
+++ b/include/apricotarch/app/caller_api.h
@@ -26,7 +26,8 @@
 [[nodiscard]] std::string encodeEntry(Node &node, const ZoneId &callerZone);
 
 /// `POST /v1/completions` and `POST /v1/chat/completions`.
-[[nodiscard]] asio::awaitable<void> answerCompletion(Node &node, const HttpRequest &request, HttpResponder &responder, CompletionStyle style);
+[[nodiscard]] asio::awaitable<void> answerCompletion(
+    Node &node, const HttpRequest &request, HttpResponder &responder, CompletionStyle style);
 
 /// Any method on `/v1/services/{service}/...`.
 [[nodiscard]] asio::awaitable<void> answerServiceCall(Node &node, const HttpRequest &request, HttpResponder &responder);
--- a/include/apricotarch/app/operator_client.h
+++ b/include/apricotarch/app/operator_client.h
@@ -19,7 +19,8 @@
 };
 
 /// Sends one request and prints the answer. @return an ExitCode
-[[nodiscard]] int askNode(const OperatorAccess &access, const std::string &method, const std::string &path, const std::string &query, const std::string &body);
+[[nodiscard]] int askNode(
+    const OperatorAccess &access, const std::string &method, const std::string &path, const std::string &query, const std::string &body);
 
 /// Prints a JSON text as indented `key: value` lines.
 [[nodiscard]] std::string toPlainText(const std::string &json);
--- a/include/apricotarch/coordination/adoption.h
+++ b/include/apricotarch/coordination/adoption.h
@@ -81,7 +81,8 @@
  * @param holding processes that hold the offered body
  * @param ended processes that are certain to have ended; no node can be hearing them
  */
-[[nodiscard]] bool offerHasMajority(const std::vector<Elector> &electorate, const std::set<ProcessId> &holding, const std::set<ProcessId> &ended);
+[[nodiscard]] bool offerHasMajority(
+    const std::vector<Elector> &electorate, const std::set<ProcessId> &holding, const std::set<ProcessId> &ended);
 
 /// Whether an offer is old enough to be withdrawn by whoever can reach the store.
 [[nodiscard]] bool offerIsStale(const AdoptionView &view, TimePoint now, const CurrencyTimes &times);
--- a/include/apricotarch/coordination/application_call.h
+++ b/include/apricotarch/coordination/application_call.h
@@ -98,7 +98,8 @@
     [[nodiscard]] asio::awaitable<ApplicationOutcome> meetClaim(const ApplicationRequest &request, ClaimTicket ticket);
     [[nodiscard]] asio::awaitable<ApplicationOutcome> lookUp(const ApplicationRequest &request, ClaimTicket ticket, Error error);
     [[nodiscard]] asio::awaitable<std::optional<ReplicaSpec>> choose(const ApplicationRequest &request, std::set<ReplicaId> &excluded);
-    [[nodiscard]] asio::awaitable<Result<CallResult>> callReplica(const ApplicationRequest &request, const ReplicaSpec &replica, ReplicaCall call);
+    [[nodiscard]] asio::awaitable<Result<CallResult>> callReplica(
+        const ApplicationRequest &request, const ReplicaSpec &replica, ReplicaCall call);
     [[nodiscard]] ApplicationOutcome answered(const ApplicationRequest &request, CallResult result, bool replayed);
     [[nodiscard]] ApplicationOutcome refused(const ApplicationRequest &request, std::string reason, Error error, bool notRun);
     [[nodiscard]] Duration left(const ApplicationRequest &request) const noexcept;
--- a/include/apricotarch/coordination/cell_keeper.h
+++ b/include/apricotarch/coordination/cell_keeper.h
@@ -40,8 +40,8 @@
  * @param needs engines of the cell, in a fixed order
  * @param current the engine that is being changed; empty for none
  * @param floor share of a service's engines, 0 to 1, that have to stay usable
- * @return @p current while it is there, until its order is closed; else an engine whose change leaves its service's floor, engines that are not
- *         usable first; nothing where there is none
+ * @return @p current while it is there, until its order is closed; else an engine whose change leaves its service's floor, engines that are
+ * not usable first; nothing where there is none
  */
 [[nodiscard]] std::optional<ReplicaId> nextToChange(const std::vector<EngineNeed> &needs, const ReplicaId &current, double floor);
 
--- a/include/apricotarch/coordination/configuration_keeper.h
+++ b/include/apricotarch/coordination/configuration_keeper.h
@@ -114,7 +114,8 @@
     };
 
     [[nodiscard]] asio::awaitable<Result<std::optional<CommittedConfiguration>>> readRow();
-    [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> commit(CommittedConfiguration base, std::string body, Digest digest, bool newVersion);
+    [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> commit(
+        CommittedConfiguration base, std::string body, Digest digest, bool newVersion);
     [[nodiscard]] asio::awaitable<Offering> offerToMembers(std::vector<Elector> electorate, ConfigurationOffer offer);
     [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> writeRow(const CommittedConfiguration &base, ConfigurationRow row);
     [[nodiscard]] asio::awaitable<void> withdraw(CommittedConfiguration base);
--- a/include/apricotarch/coordination/engine_streams.h
+++ b/include/apricotarch/coordination/engine_streams.h
@@ -87,11 +87,12 @@
     virtual ~EngineStreams() = default;
 
     /// Starts an answer. @return Refused where the engine certainly did not start it; ConnectFailed, ConnectionLost or TimedOut
-    [[nodiscard]] virtual asio::awaitable<Result<std::unique_ptr<EngineStream>>> open(ReplicaSpec replica, EngineRequest request, Duration timeout) = 0;
+    [[nodiscard]] virtual asio::awaitable<Result<std::unique_ptr<EngineStream>>> open(
+        ReplicaSpec replica, EngineRequest request, Duration timeout) = 0;
 
     /// Goes on with a stream from an offset. @return NotFound where the engine does not know it
-    [[nodiscard]] virtual asio::awaitable<Result<std::unique_ptr<EngineStream>>>
-    resume(ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout) = 0;
+    [[nodiscard]] virtual asio::awaitable<Result<std::unique_ptr<EngineStream>>> resume(
+        ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout) = 0;
 
     /// Ends a stream. @param onlyIfDetached leave it alone while somebody reads it
     [[nodiscard]] virtual asio::awaitable<void> cancel(ReplicaSpec replica, std::string stream, bool onlyIfDetached) = 0;
--- a/include/apricotarch/coordination/language_call.h
+++ b/include/apricotarch/coordination/language_call.h
@@ -106,10 +106,14 @@
 
     [[nodiscard]] asio::awaitable<Step> attempt(const LanguageRequest &request, Progress &progress, PieceSink &sink);
     [[nodiscard]] asio::awaitable<Step> dispatch(const LanguageRequest &request, Progress &progress, PieceSink &sink, RouteChoice choice);
-    [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>>
-    connect(const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Duration timeout);
-    [[nodiscard]] asio::awaitable<Step>
-    pump(const LanguageRequest &request, Progress &progress, PieceSink &sink, const ReplicaSpec &replica, EngineStream &stream, Duration firstWait);
+    [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>> connect(
+        const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Duration timeout);
+    [[nodiscard]] asio::awaitable<Step> pump(const LanguageRequest &request,
+        Progress &progress,
+        PieceSink &sink,
+        const ReplicaSpec &replica,
+        EngineStream &stream,
+        Duration firstWait);
 
     // ---- choosing ----
 
@@ -118,8 +122,10 @@
 
     // ---- failures ----
 
-    [[nodiscard]] asio::awaitable<Step> notOpened(const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error);
-    [[nodiscard]] asio::awaitable<Step> afterLoss(const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error);
+    [[nodiscard]] asio::awaitable<Step> notOpened(
+        const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error);
+    [[nodiscard]] asio::awaitable<Step> afterLoss(
+        const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error);
     [[nodiscard]] asio::awaitable<bool> hasCrashed(ReplicaSpec replica, Incarnation incarnation);
     [[nodiscard]] Step retry(Progress &progress, const char *reason, Error error);
     [[nodiscard]] static Step refuse(Progress &progress, std::string reason, Error error);
--- a/include/apricotarch/coordination/lease.h
+++ b/include/apricotarch/coordination/lease.h
@@ -71,7 +71,8 @@
 [[nodiscard]] LeaseRow nextLeaseRow(const LeaseView &view, const ProcessId &self, LeaseStep step, AttemptId attempt);
 
 /// What a view becomes when a Renew or Take was written. @param sentAt a moment before the first send
-[[nodiscard]] LeaseView leaseWritten(LeaseView view, RowVersion version, LeaseRow row, TimePoint sentAt, TimePoint now, const LeaseTimes &times);
+[[nodiscard]] LeaseView leaseWritten(
+    LeaseView view, RowVersion version, LeaseRow row, TimePoint sentAt, TimePoint now, const LeaseTimes &times);
 
 /// What a view becomes when a write was lost or its outcome is unknown.
 [[nodiscard]] LeaseView leaseNotWritten(LeaseView view, WriteOutcome outcome);
--- a/include/apricotarch/coordination/routing.h
+++ b/include/apricotarch/coordination/routing.h
@@ -69,7 +69,8 @@
     [[nodiscard]] virtual const char *name() const noexcept = 0;
 
     /// Chooses one of @p eligible, which is not empty. From any thread.
-    [[nodiscard]] virtual std::size_t choose(const std::vector<ReplicaView> &eligible, const RouteRequest &request, const RandomIndex &random) = 0;
+    [[nodiscard]] virtual std::size_t choose(
+        const std::vector<ReplicaView> &eligible, const RouteRequest &request, const RandomIndex &random) = 0;
 };
 
 /// Predicted time to the end, random among those that are nearly as good as the best.
@@ -85,7 +86,7 @@
 [[nodiscard]] std::unique_ptr<RoutingPolicy> makePolicy(const std::string &name);
 
 /// Chooses with a policy. @return nothing where no replica is eligible
-[[nodiscard]] std::optional<RouteChoice>
-route(RoutingPolicy &policy, const std::vector<ReplicaView> &replicas, const RouteRequest &request, TimePoint now, const RandomIndex &random);
+[[nodiscard]] std::optional<RouteChoice> route(
+    RoutingPolicy &policy, const std::vector<ReplicaView> &replicas, const RouteRequest &request, TimePoint now, const RandomIndex &random);
 
 } // namespace apricotarch
--- a/include/apricotarch/protocol/completion.h
+++ b/include/apricotarch/protocol/completion.h
@@ -44,7 +44,8 @@
 [[nodiscard]] Result<CompletionRequest> decodeCompletionRequest(std::string_view text, CompletionStyle style);
 
 /// One event of a caller's stream, with its id, ready to be written.
-[[nodiscard]] std::string encodeCallerEvent(const RequestId &request, CompletionStyle style, const StreamPosition &next, const EnginePiece &piece);
+[[nodiscard]] std::string encodeCallerEvent(
+    const RequestId &request, CompletionStyle style, const StreamPosition &next, const EnginePiece &piece);
 
 /// The event that ends a caller's stream.
 [[nodiscard]] std::string_view callerEndEvent() noexcept;
@@ -53,7 +54,8 @@
 [[nodiscard]] std::string callerErrorEvent(const std::string &problem);
 
 /// A whole answer. @param tokens length of the answer
-[[nodiscard]] std::string encodeWholeAnswer(const RequestId &request, CompletionStyle style, const std::string &text, const std::string &finishReason, std::int64_t tokens);
+[[nodiscard]] std::string encodeWholeAnswer(
+    const RequestId &request, CompletionStyle style, const std::string &text, const std::string &finishReason, std::int64_t tokens);
 
 /// `replica/incarnation/stream/offset`
 [[nodiscard]] std::string encodePosition(const StreamPosition &position);
--- a/include/apricotarch/protocol/yaml_map.h
+++ b/include/apricotarch/protocol/yaml_map.h
@@ -36,7 +36,7 @@
      * @param path its place in the file, empty at the root
      * @param faults where faults go; must outlive the object
      */
-    YamlMap(YAML::Node node, std::string path, Faults &faults);
+    YamlMap(const YAML::Node &node, std::string path, Faults &faults);
 
     // ---- required values ----
 
--- a/include/apricotarch/transport/engine_client.h
+++ b/include/apricotarch/transport/engine_client.h
@@ -26,9 +26,10 @@
 public:
     HttpEngineStreams(HttpClient &client, BackendTimes times);
 
-    [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>> open(ReplicaSpec replica, EngineRequest request, Duration timeout) override;
-    [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>>
-    resume(ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout) override;
+    [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>> open(
+        ReplicaSpec replica, EngineRequest request, Duration timeout) override;
+    [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>> resume(
+        ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout) override;
     [[nodiscard]] asio::awaitable<void> cancel(ReplicaSpec replica, std::string stream, bool onlyIfDetached) override;
     [[nodiscard]] asio::awaitable<Result<LoadReport>> load(ReplicaSpec replica) override;
 
--- a/include/apricotarch/transport/http_client.h
+++ b/include/apricotarch/transport/http_client.h
@@ -12,8 +12,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "apricotarch/base/clock.h"
-#include "apricotarch/base/error.h"
 #include "apricotarch/base/endpoint.h"
+#include "apricotarch/base/error.h"
 #include "apricotarch/transport/http_message.h"
 
 namespace apricotarch
--- a/include/apricotarch/transport/http_server.h
+++ b/include/apricotarch/transport/http_server.h
@@ -14,8 +14,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include "apricotarch/base/error.h"
 #include "apricotarch/base/endpoint.h"
+#include "apricotarch/base/error.h"
 #include "apricotarch/transport/http_message.h"
 #include "apricotarch/transport/workers.h"
 
--- a/src/app/caller_api.cpp
+++ b/src/app/caller_api.cpp
@@ -108,7 +108,8 @@
         return tl::unexpected(refusal("service_not_allowed", "The service '" + service.value() + "' does not answer this caller.", Step));
     }
     if (!admissibility.admissible) {
-        return tl::unexpected(refusal(admissibility.reason, "This node cannot tell whether its configuration is the one in force. Ask another node.", Step));
+        return tl::unexpected(
+            refusal(admissibility.reason, "This node cannot tell whether its configuration is the one in force. Ask another node.", Step));
     }
     if (node.isDraining()) {
         return tl::unexpected(refusal("node_draining", "This node is shutting down. Ask GET /v1/entry at another node.", Step));
@@ -119,7 +120,8 @@
         problem.retryAfter = std::chrono::seconds(1);
         return tl::unexpected(problem);
     }
-    Admitted admitted{std::move(admissibility.inForce), caller->id, found, std::make_unique<AdmissionPlace>(node.admission(), caller->id), {}};
+    Admitted admitted{
+        std::move(admissibility.inForce), caller->id, found, std::make_unique<AdmissionPlace>(node.admission(), caller->id), {}};
     const std::int64_t usual = found->deadline.count();
     const std::int64_t asked = headerNumber(request, "X-Deadline-Ms").value_or(usual);
     admitted.deadline = node.clock().now() + std::chrono::milliseconds(std::clamp<std::int64_t>(asked, 1, usual));
@@ -137,7 +139,8 @@
 /// Hash that binds a stream to its caller and content, so that nobody else can go on with it.
 std::string bindingOf(const CallerId &caller, const CompletionRequest &request)
 {
-    const std::string bound = caller.value() + '\n' + request.service.value() + '\n' + std::to_string(request.maxOutput.value()) + '\n' + request.prompt;
+    const std::string bound =
+        caller.value() + '\n' + request.service.value() + '\n' + std::to_string(request.maxOutput.value()) + '\n' + request.prompt;
     return sha256Hex(bound).substr(0, 32);
 }
 
@@ -235,13 +238,14 @@
 }
 
 /// Checks a decoded completion against its service and makes the request that is run.
-tl::expected<LanguageRequest, Problem>
-languageRequest(const HttpRequest &request, const CompletionRequest &completion, const Admitted &admitted, const RequestId &id)
+tl::expected<LanguageRequest, Problem> languageRequest(
+    const HttpRequest &request, const CompletionRequest &completion, const Admitted &admitted, const RequestId &id)
 {
     constexpr const char *Step = "request.check";
     const ServiceSpec &service = *admitted.service;
     if (service.kind != ServiceKind::Language) {
-        return tl::unexpected(refusal("unknown_service", "'" + service.id.value() + "' is no language service; call it below /v1/services/.", Step));
+        return tl::unexpected(
+            refusal("unknown_service", "'" + service.id.value() + "' is no language service; call it below /v1/services/.", Step));
     }
     if (estimateTokens(completion.prompt) > service.maxPrompt || completion.maxOutput > service.maxOutput) {
         return tl::unexpected(refusal("prompt_too_long", "Prompt or max_tokens are longer than the service's questionnaire allows.", Step));
@@ -265,7 +269,8 @@
         return tl::unexpected(refusal("invalid_request", position.error().detail, position.error().step));
     }
     if (!isBoundTo(position->stream, binding)) {
-        return tl::unexpected(refusal("foreign_stream", "Last-Event-ID belongs to another caller or another request; resend the same body.", Step));
+        return tl::unexpected(
+            refusal("foreign_stream", "Last-Event-ID belongs to another caller or another request; resend the same body.", Step));
     }
     run.resumeFrom = *position;
     return run;
@@ -343,17 +348,19 @@
     return response;
 }
 
-tl::expected<ApplicationRequest, Problem>
-applicationRequest(const HttpRequest &request, const ServiceTarget &target, const Admitted &admitted, const RequestId &id)
+tl::expected<ApplicationRequest, Problem> applicationRequest(
+    const HttpRequest &request, const ServiceTarget &target, const Admitted &admitted, const RequestId &id)
 {
     constexpr const char *Step = "request.check";
     const OperationSpec *operation = findOperation(*admitted.service, request.method, target.path);
     if (operation == nullptr) {
-        return tl::unexpected(refusal("unknown_operation", "The service has no operation " + request.method + ' ' + target.path + '.', Step));
+        return tl::unexpected(
+            refusal("unknown_operation", "The service has no operation " + request.method + ' ' + target.path + '.', Step));
     }
     const std::string key(request.headers.value("Idempotency-Key"));
     if (!operation->idempotent && (key.empty() || key.size() > MaxKeyBytes)) {
-        return tl::unexpected(refusal("idempotency_key_missing", "Send an Idempotency-Key of 1 to 256 bytes, and the same one when you repeat the call.", Step));
+        return tl::unexpected(refusal(
+            "idempotency_key_missing", "Send an Idempotency-Key of 1 to 256 bytes, and the same one when you repeat the call.", Step));
     }
     ApplicationRequest run;
     run.id = id;
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -57,7 +57,8 @@
         std::cerr << describe(file, configuration.error());
         return InvalidInput;
     }
-    std::cout << file << ": no faults; " << configuration->services.size() << " services, " << configuration->callers.size() << " callers\n";
+    std::cout << file << ": no faults; " << configuration->services.size() << " services, " << configuration->callers.size()
+              << " callers\n";
     return Success;
 }
 
@@ -109,7 +110,8 @@
 
 void addQuestionnaire(CLI::App &app, Arguments &arguments, Command &chosen)
 {
-    CLI::App *group = app.add_subcommand("questionnaire", "Describe a desk; the configuration is generated from the answers.")->require_subcommand(1);
+    CLI::App *group =
+        app.add_subcommand("questionnaire", "Describe a desk; the configuration is generated from the answers.")->require_subcommand(1);
     group->add_subcommand("new", "Print an empty questionnaire.")->callback([&] {
         chosen = [] {
             std::cout << blankQuestionnaire();
@@ -137,7 +139,9 @@
 void addExplain(CLI::App &app, Arguments &arguments, Command &chosen)
 {
     CLI::App *command = app.add_subcommand("explain", "Tell what was seen, weighed and chosen.");
-    command->add_option("kind", arguments.kind, "what about")->required()->check(CLI::IsMember({"order", "lease", "config", "member", "request"}));
+    command->add_option("kind", arguments.kind, "what about")
+        ->required()
+        ->check(CLI::IsMember({"order", "lease", "config", "member", "request"}));
     command->add_option("id", arguments.subject, "engine, duty, version, node or request; all where left out");
     addAccess(*command, arguments);
     command->callback([&] {
@@ -147,7 +151,8 @@
     });
 }
 
-void addSimple(CLI::App &app, Arguments &arguments, Command &chosen, const char *name, const char *help, const char *method, const char *path)
+void addSimple(
+    CLI::App &app, Arguments &arguments, Command &chosen, const char *name, const char *help, const char *method, const char *path)
 {
     CLI::App *command = app.add_subcommand(name, help);
     addAccess(*command, arguments);
--- a/src/app/http_api.cpp
+++ b/src/app/http_api.cpp
@@ -105,17 +105,22 @@
             continue;
         }
         if (request.path.starts_with(OperatorPath) && !isOperator(m_node, request)) {
-            co_await sendProblem(m_node, responder, problem(401, "unauthenticated", "Send the operators' token as 'Authorization: Bearer TOKEN'.", "operator.check"));
+            co_await sendProblem(m_node,
+                responder,
+                problem(401, "unauthenticated", "Send the operators' token as 'Authorization: Bearer TOKEN'.", "operator.check"));
             co_return;
         }
         co_await (this->*path.handler)(request, responder);
         co_return;
     }
     if (pathKnown) {
-        co_await sendProblem(m_node, responder, problem(405, "method_not_allowed", request.path + " does not take " + request.method + '.', "http.route"));
+        co_await sendProblem(
+            m_node, responder, problem(405, "method_not_allowed", request.path + " does not take " + request.method + '.', "http.route"));
         co_return;
     }
-    co_await sendProblem(m_node, responder, problem(404, "unknown_path", "There is no " + request.path + " here; docs/callers.md lists what there is.", "http.route"));
+    co_await sendProblem(m_node,
+        responder,
+        problem(404, "unknown_path", "There is no " + request.path + " here; docs/callers.md lists what there is.", "http.route"));
 }
 
 asio::awaitable<void> HttpApi::entry(const HttpRequest &request, HttpResponder &responder)
@@ -147,7 +152,9 @@
 {
     const auto kind = decisionKindOf(request.parameter("kind"));
     if (!kind) {
-        co_await sendProblem(m_node, responder, problem(400, "invalid_request", "kind must be order, lease, config, member or request.", "operator.explain"));
+        co_await sendProblem(m_node,
+            responder,
+            problem(400, "invalid_request", "kind must be order, lease, config, member or request.", "operator.explain"));
         co_return;
     }
     const std::string subject(request.parameter("subject"));
@@ -176,7 +183,9 @@
     }
     const auto base = numberOf(request.parameter("base"));
     if (!base) {
-        co_await sendProblem(m_node, responder, problem(400, "invalid_request", "base must be the version this change starts from; 0 for the first.", "operator.submit"));
+        co_await sendProblem(m_node,
+            responder,
+            problem(400, "invalid_request", "base must be the version this change starts from; 0 for the first.", "operator.submit"));
         co_return;
     }
     const Result<CommittedConfiguration> accepted = co_await m_node.configuration().accept(*configuration, ConfigurationVersion(*base));
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -88,10 +88,19 @@
     , m_policy(makePolicy(m_settings.routing))
     , m_applicationPolicy(makeLeastOutstandingPolicy())
     , m_admission({m_settings.inFlight})
-    , m_languageCalls({m_engines, m_fleet, m_crashes, m_retries, *m_policy, m_members, m_clock, m_decisions, m_metrics, randomIndex(), m_settings.zone},
+    , m_languageCalls(
+          {m_engines, m_fleet, m_crashes, m_retries, *m_policy, m_members, m_clock, m_decisions, m_metrics, randomIndex(), m_settings.zone},
           LanguageCallTimes())
-    , m_applicationCalls(
-          {m_replicaCaller, m_claims, m_fleet, m_retries, *m_applicationPolicy, m_clock, m_decisions, m_metrics, randomIndex(), m_settings.zone})
+    , m_applicationCalls({m_replicaCaller,
+          m_claims,
+          m_fleet,
+          m_retries,
+          *m_applicationPolicy,
+          m_clock,
+          m_decisions,
+          m_metrics,
+          randomIndex(),
+          m_settings.zone})
 {
 }
 
@@ -110,7 +119,7 @@
 
 Result<void> Node::start()
 {
-    const Result<void> listening = m_peers.listen(
+    Result<void> listening = m_peers.listen(
         m_settings.peerAddress,
         [this](Heartbeat heartbeat) {
             asio::co_spawn(m_workers.first(), m_membership.hear(std::move(heartbeat)), asio::detached);
@@ -125,7 +134,10 @@
         asio::co_spawn(m_workers.first(), repeat(loop), asio::detached);
     }
     m_workers.start();
-    LogEvent("node.started").field("node", m_self.node).field("incarnation", m_self.incarnation).field("callers", m_settings.callerAddress.text());
+    LogEvent("node.started")
+        .field("node", m_self.node)
+        .field("incarnation", m_self.incarnation)
+        .field("callers", m_settings.callerAddress.text());
     return {};
 }
 
@@ -135,7 +147,9 @@
         try {
             co_await (this->*loop.round)();
         } catch (const std::exception &exception) {
-            LogEvent("loop.failed", LogEvent::Level::Error).field("loop", std::string_view(loop.name)).field("detail", std::string_view(exception.what()));
+            LogEvent("loop.failed", LogEvent::Level::Error)
+                .field("loop", std::string_view(loop.name))
+                .field("detail", std::string_view(exception.what()));
         }
         co_await m_clock.sleep(loop.pause);
     }
--- a/src/app/operator_api.cpp
+++ b/src/app/operator_api.cpp
@@ -122,7 +122,8 @@
 
 std::optional<DecisionKind> decisionKindOf(std::string_view name) noexcept
 {
-    constexpr std::array Kinds = {DecisionKind::Order, DecisionKind::Lease, DecisionKind::Configuration, DecisionKind::Member, DecisionKind::Request};
+    constexpr std::array Kinds = {
+        DecisionKind::Order, DecisionKind::Lease, DecisionKind::Configuration, DecisionKind::Member, DecisionKind::Request};
     for (const DecisionKind kind : Kinds) {
         if (name == decisionKindName(kind)) {
             return kind;
@@ -138,7 +139,7 @@
     }
     const RowKey key{decisionKindName(kind), std::move(subject)};
     const auto row = co_await node.table().read(key);
-    co_return row && *row ? (*row)->text : std::string();
+    co_return row &&*row ? (*row)->text : std::string();
 }
 
 std::string encodeExplanation(Node &node, DecisionKind kind, const std::string &subject, const std::string &rowText)
--- a/src/app/operator_client.cpp
+++ b/src/app/operator_client.cpp
@@ -97,7 +97,8 @@
     return out;
 }
 
-int askNode(const OperatorAccess &access, const std::string &method, const std::string &path, const std::string &query, const std::string &body)
+int askNode(
+    const OperatorAccess &access, const std::string &method, const std::string &path, const std::string &query, const std::string &body)
 {
     const Result<Endpoint> endpoint = parseEndpoint(access.node);
     if (!endpoint) {
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -56,8 +56,10 @@
 void readLimits(YamlMap &root, Settings &settings)
 {
     settings.threads = static_cast<std::size_t>(root.numberOr("threads", ThreadCount, static_cast<std::int64_t>(settings.threads)));
-    settings.inFlight = static_cast<std::size_t>(root.numberOr("requests_in_flight", RequestCount, static_cast<std::int64_t>(settings.inFlight)));
-    settings.connections = static_cast<std::size_t>(root.numberOr("connections", ConnectionCount, static_cast<std::int64_t>(settings.connections)));
+    settings.inFlight =
+        static_cast<std::size_t>(root.numberOr("requests_in_flight", RequestCount, static_cast<std::int64_t>(settings.inFlight)));
+    settings.connections =
+        static_cast<std::size_t>(root.numberOr("connections", ConnectionCount, static_cast<std::int64_t>(settings.connections)));
     settings.bodyBytes = static_cast<std::size_t>(root.numberOr("body_bytes", BodyBytes, static_cast<std::int64_t>(settings.bodyBytes)));
     settings.shutdownBound = std::chrono::seconds(root.numberOr("shutdown_bound_s", ShutdownSeconds, 30));
     settings.entryKeepsFor = std::chrono::seconds(root.numberOr("entry_keeps_for_s", EntrySeconds, 10));
--- a/src/coordination/application_call.cpp
+++ b/src/coordination/application_call.cpp
@@ -30,7 +30,11 @@
 
 Error notChosen(const ApplicationRequest &request)
 {
-    return {ErrorId::NotFound, "request.choose", request.service.id.value(), "no replica could be reached before the deadline", Delivery::NotSent};
+    return {ErrorId::NotFound,
+        "request.choose",
+        request.service.id.value(),
+        "no replica could be reached before the deadline",
+        Delivery::NotSent};
 }
 
 } // namespace
@@ -98,7 +102,8 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<Result<CallResult>> ApplicationCalls::callReplica(const ApplicationRequest &request, const ReplicaSpec &replica, ReplicaCall call)
+asio::awaitable<Result<CallResult>> ApplicationCalls::callReplica(
+    const ApplicationRequest &request, const ReplicaSpec &replica, ReplicaCall call)
 {
     m_use.fleet.dispatched(replica.id, Tokens(), Tokens());
     Result<CallResult> result = co_await m_use.replicas.call(replica, std::move(call), left(request));
@@ -125,7 +130,11 @@
         }
         const bool sent = result || result.error().delivery == Delivery::MaybeSent;
         mayHaveRun = mayHaveRun || sent;
-        last = result ? Error{ErrorId::UnexpectedStatus, "request.call", replica->id.value(), "status " + std::to_string(result->status), Delivery::MaybeSent}
+        last = result ? Error{ErrorId::UnexpectedStatus,
+                   "request.call",
+                   replica->id.value(),
+                   "status " + std::to_string(result->status),
+                   Delivery::MaybeSent}
                       : result.error();
         excluded.insert(replica->id);
         if (!m_use.retries.takeRetry()) {
@@ -161,7 +170,11 @@
             co_return answered(request, std::move(*result), false);
         }
         const bool certainlyNotSent = !result && result.error().delivery == Delivery::NotSent;
-        last = result ? Error{ErrorId::UnexpectedStatus, "request.call", replica->id.value(), "status " + std::to_string(result->status), Delivery::MaybeSent}
+        last = result ? Error{ErrorId::UnexpectedStatus,
+                   "request.call",
+                   replica->id.value(),
+                   "status " + std::to_string(result->status),
+                   Delivery::MaybeSent}
                       : result.error();
         if (!certainlyNotSent) {
             co_return co_await lookUp(request, std::move(ticket), last);
@@ -202,14 +215,25 @@
 asio::awaitable<ApplicationOutcome> ApplicationCalls::meetClaim(const ApplicationRequest &request, ClaimTicket ticket)
 {
     const std::string peer = ticket.row.owner.value();
-    const Error unknown{ErrorId::OutcomeUnknown, "claim.begin", peer, "the call may have run; it will not be sent again", Delivery::MaybeSent};
+    const Error unknown{
+        ErrorId::OutcomeUnknown, "claim.begin", peer, "the call may have run; it will not be sent again", Delivery::MaybeSent};
     switch (ticket.decision) {
     case ClaimDecision::Replay:
         co_return answered(request, ticket.row.result, true);
     case ClaimDecision::InProgress:
-        co_return refused(request, "in_progress", {ErrorId::Refused, "claim.begin", peer, "a request with this key is being run; ask again with the same key", Delivery::NotSent}, false);
+        co_return refused(request,
+            "in_progress",
+            {ErrorId::Refused, "claim.begin", peer, "a request with this key is being run; ask again with the same key", Delivery::NotSent},
+            false);
     case ClaimDecision::KeyReused:
-        co_return refused(request, "key_reused", {ErrorId::Refused, "claim.begin", peer, "this key was used for another call; use a new key for a new booking", Delivery::NotSent}, true);
+        co_return refused(request,
+            "key_reused",
+            {ErrorId::Refused,
+                "claim.begin",
+                peer,
+                "this key was used for another call; use a new key for a new booking",
+                Delivery::NotSent},
+            true);
     case ClaimDecision::OutcomeUnknown:
         co_return co_await lookUp(request, std::move(ticket), unknown);
     case ClaimDecision::NotRun:
--- a/src/coordination/claims.cpp
+++ b/src/coordination/claims.cpp
@@ -188,7 +188,8 @@
 
 asio::awaitable<void> ClaimKeeper::abandon(ClaimTicket ticket)
 {
-    if (!co_await markNotSent(ticket)) {
+    const bool marked = co_await markNotSent(ticket);
+    if (!marked) {
         remember(ticket);
     }
     ended(ticket.key);
@@ -224,7 +225,8 @@
         tickets.swap(m_abandoned);
     }
     for (const ClaimTicket &ticket : tickets) {
-        if (!co_await markNotSent(ticket)) {
+        const bool marked = co_await markNotSent(ticket);
+        if (!marked) {
             remember(ticket);
         }
     }
--- a/src/coordination/configuration_keeper.cpp
+++ b/src/coordination/configuration_keeper.cpp
@@ -334,7 +334,8 @@
     return electorate;
 }
 
-asio::awaitable<ConfigurationKeeper::Offering> ConfigurationKeeper::offerToMembers(std::vector<Elector> electorate, ConfigurationOffer offer)
+asio::awaitable<ConfigurationKeeper::Offering> ConfigurationKeeper::offerToMembers(
+    std::vector<Elector> electorate, ConfigurationOffer offer)
 {
     Offering offering;
     if (hold(offer)) {
@@ -374,7 +375,11 @@
         co_return fail(ErrorId::Conflict, "config.commit", peer, "another change was accepted first; start again from version " + version);
     }
     case WriteOutcome::Overtaken:
-        co_return fail(ErrorId::OutcomeUnknown, "config.commit", peer, "later changes were accepted since; read the configuration in force", Delivery::MaybeSent);
+        co_return fail(ErrorId::OutcomeUnknown,
+            "config.commit",
+            peer,
+            "later changes were accepted since; read the configuration in force",
+            Delivery::MaybeSent);
     case WriteOutcome::Unknown:
         break;
     }
@@ -395,8 +400,8 @@
     co_await bringIntoForce();
 }
 
-asio::awaitable<Result<CommittedConfiguration>>
-ConfigurationKeeper::commit(CommittedConfiguration base, std::string body, Digest digest, bool newVersion)
+asio::awaitable<Result<CommittedConfiguration>> ConfigurationKeeper::commit(
+    CommittedConfiguration base, std::string body, Digest digest, bool newVersion)
 {
     const ConfigurationOffer offer{base.epoch, digest, std::move(body)};
     const Offering offering = co_await offerToMembers(base.row.electorate, offer);
@@ -405,7 +410,8 @@
         co_return fail(ErrorId::NoMajority,
             "config.offer",
             "",
-            std::to_string(offering.holding.size()) + " nodes hold the offer, which is no majority of the " + std::to_string(base.row.electorate.size())
+            std::to_string(offering.holding.size()) + " nodes hold the offer, which is no majority of the "
+                + std::to_string(base.row.electorate.size())
                 + " that have to; nothing was accepted. Try again when more nodes are reachable.");
     }
     ConfigurationRow row;
@@ -441,7 +447,10 @@
     }
     const Result<CommittedConfiguration> accepted = co_await commit(present, body, digest, true);
     if (accepted) {
-        explain(*accepted, "questionnaire submitted on version " + std::to_string(base.value()), "electorate=" + std::to_string(present.row.electorate.size()), "accepted");
+        explain(*accepted,
+            "questionnaire submitted on version " + std::to_string(base.value()),
+            "electorate=" + std::to_string(present.row.electorate.size()),
+            "accepted");
     } else {
         m_use.metrics.increment(CounterFamily::Configurations, std::string("not_accepted_") + errorName(accepted.error().id));
     }
--- a/src/coordination/language_call.cpp
+++ b/src/coordination/language_call.cpp
@@ -76,7 +76,10 @@
     progress.outcome.answered = step == Step::Answered;
     progress.outcome.tokens = progress.received;
     if (!progress.outcome.answered) {
-        explain(request, describe(progress.outcome.error), "attempts=" + std::to_string(progress.attempts), "refused " + progress.outcome.reason);
+        explain(request,
+            describe(progress.outcome.error),
+            "attempts=" + std::to_string(progress.attempts),
+            "refused " + progress.outcome.reason);
     }
     co_return progress.outcome;
 }
@@ -96,8 +99,10 @@
     const bool first = progress.attempts == 1 && !progress.resume;
     if (first && choice->prediction.total > left(request)) {
         progress.outcome.predicted = choice->prediction.total;
-        const std::string detail = "the answer is predicted to take " + milliseconds(choice->prediction.total) + ", longer than its deadline allows";
-        co_return refuse(progress, "deadline_unreachable", {ErrorId::Refused, "request.admit", choice->replica.id.value(), detail, Delivery::NotSent});
+        const std::string detail =
+            "the answer is predicted to take " + milliseconds(choice->prediction.total) + ", longer than its deadline allows";
+        co_return refuse(
+            progress, "deadline_unreachable", {ErrorId::Refused, "request.admit", choice->replica.id.value(), detail, Delivery::NotSent});
     }
     explain(request,
         "attempt=" + std::to_string(progress.attempts) + " tokens=" + std::to_string(progress.received),
@@ -106,8 +111,8 @@
     co_return co_await dispatch(request, progress, sink, *choice);
 }
 
-asio::awaitable<LanguageCalls::Step>
-LanguageCalls::dispatch(const LanguageRequest &request, Progress &progress, PieceSink &sink, RouteChoice choice)
+asio::awaitable<LanguageCalls::Step> LanguageCalls::dispatch(
+    const LanguageRequest &request, Progress &progress, PieceSink &sink, RouteChoice choice)
 {
     const ReplicaSpec replica = choice.replica;
     const Tokens prompt = estimateTokens(request.prompt);
@@ -168,8 +173,8 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<Result<std::unique_ptr<EngineStream>>>
-LanguageCalls::connect(const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Duration timeout)
+asio::awaitable<Result<std::unique_ptr<EngineStream>>> LanguageCalls::connect(
+    const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Duration timeout)
 {
     if (progress.resume) {
         progress.stream = progress.resume->stream;
@@ -196,7 +201,9 @@
     const std::optional<StreamPosition> resumed = std::exchange(progress.resume, std::nullopt);
     progress.engine = stream.incarnation();
     if (resumed && resumed->incarnation != progress.engine) {
-        co_return refuse(progress, "stream_lost", {ErrorId::NotFound, "request.resume", replica.id.value(), "the engine has restarted since", Delivery::NotSent});
+        co_return refuse(progress,
+            "stream_lost",
+            {ErrorId::NotFound, "request.resume", replica.id.value(), "the engine has restarted since", Delivery::NotSent});
     }
     StreamPosition position{replica.id, progress.engine, progress.stream, progress.received};
     Duration wait = firstWait;
@@ -207,8 +214,15 @@
         }
         wait = m_times.betweenPieces;
         const PieceCheck check = checkPiece(*piece, progress.stream, progress.received);
-        if (check == PieceCheck::Foreign) {
-            co_return refuse(progress, "foreign_piece", {ErrorId::ForeignMessage, "request.pump", replica.id.value(), "a piece of another answer arrived and was dropped", Delivery::MaybeSent});
+        const bool tooLong = piece->offset + piece->tokens > request.maxOutput.value();
+        if (check == PieceCheck::Foreign || tooLong) {
+            co_return refuse(progress,
+                "foreign_piece",
+                {ErrorId::ForeignMessage,
+                    "request.pump",
+                    replica.id.value(),
+                    "a piece of another answer arrived and was dropped",
+                    Delivery::MaybeSent});
         }
         if (check == PieceCheck::Repeated) {
             continue;
@@ -225,11 +239,13 @@
             co_return Step::Answered;
         }
     }
-    co_return refuse(progress, "deadline_passed", {ErrorId::TimedOut, "request.pump", replica.id.value(), "the deadline passed before the answer was complete", Delivery::MaybeSent});
+    co_return refuse(progress,
+        "deadline_passed",
+        {ErrorId::TimedOut, "request.pump", replica.id.value(), "the deadline passed before the answer was complete", Delivery::MaybeSent});
 }
 
-asio::awaitable<LanguageCalls::Step>
-LanguageCalls::notOpened(const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error)
+asio::awaitable<LanguageCalls::Step> LanguageCalls::notOpened(
+    const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error)
 {
     if (error.id == ErrorId::Refused) {
         progress.excluded.insert(replica.id);
@@ -255,8 +271,8 @@
     co_return report ? report->incarnation != incarnation : report.error().delivery == Delivery::NotSent;
 }
 
-asio::awaitable<LanguageCalls::Step>
-LanguageCalls::afterLoss(const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error)
+asio::awaitable<LanguageCalls::Step> LanguageCalls::afterLoss(
+    const LanguageRequest &request, Progress &progress, const ReplicaSpec &replica, Error error)
 {
     const bool crashed = co_await hasCrashed(replica, progress.engine);
     const TimePoint now = m_use.clock.now();
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -83,7 +83,8 @@
     return view.actingUntil && now < *view.actingUntil;
 }
 
-LeaseKeeper::LeaseKeeper(TableStore &table, Clock &clock, DecisionLog &decisions, Metrics &metrics, ProcessId self, DutyId duty, LeaseTimes times)
+LeaseKeeper::LeaseKeeper(
+    TableStore &table, Clock &clock, DecisionLog &decisions, Metrics &metrics, ProcessId self, DutyId duty, LeaseTimes times)
     : m_table(table)
     , m_clock(clock)
     , m_decisions(decisions)
@@ -124,7 +125,8 @@
 void LeaseKeeper::explain(const char *seen, std::string weighed, const char *chosen)
 {
     m_metrics.increment(CounterFamily::Leases, chosen);
-    m_decisions.add({.kind = DecisionKind::Lease, .subject = m_duty.value(), .seen = seen, .weighed = std::move(weighed), .chosen = chosen});
+    m_decisions.add(
+        {.kind = DecisionKind::Lease, .subject = m_duty.value(), .seen = seen, .weighed = std::move(weighed), .chosen = chosen});
 }
 
 asio::awaitable<bool> LeaseKeeper::observe()
@@ -155,7 +157,11 @@
 
 asio::awaitable<void> LeaseKeeper::step()
 {
-    if (m_released || !co_await observe()) {
+    if (m_released) {
+        co_return;
+    }
+    const bool seen = co_await observe();
+    if (!seen) {
         co_return;
     }
     const LeaseStep due = nextLeaseStep(view(), m_self, m_clock.now(), m_times);
--- a/src/coordination/order.cpp
+++ b/src/coordination/order.cpp
@@ -173,7 +173,8 @@
         .chosen = chosen});
 }
 
-asio::awaitable<Result<OrderKeeper::Look>> OrderKeeper::look(const ReplicaSpec &replica, const EngineTarget &wanted, const Authority &authority)
+asio::awaitable<Result<OrderKeeper::Look>> OrderKeeper::look(
+    const ReplicaSpec &replica, const EngineTarget &wanted, const Authority &authority)
 {
     Look look;
     const RowKey key{"order", replica.id.value()};
@@ -252,7 +253,8 @@
     }
     if (written.outcome != WriteOutcome::Written) {
         m_metrics.increment(CounterFamily::Orders, "intent_not_written");
-        co_return fail(ErrorId::Conflict, "order.write_intent", replica.id.value(), "the intent was not written; the next round looks again");
+        co_return fail(
+            ErrorId::Conflict, "order.write_intent", replica.id.value(), "the intent was not written; the next round looks again");
     }
     explain(replica, look.situation, stepName(step));
     if (step == OrderStep::Close) {
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -57,7 +57,8 @@
         return "predicted_time";
     }
 
-    [[nodiscard]] std::size_t choose(const std::vector<ReplicaView> &eligible, const RouteRequest &request, const RandomIndex &random) override
+    [[nodiscard]] std::size_t choose(
+        const std::vector<ReplicaView> &eligible, const RouteRequest &request, const RandomIndex &random) override
     {
         std::vector<Duration> costs;
         for (const ReplicaView &view : eligible) {
@@ -84,7 +85,8 @@
         return "least_outstanding";
     }
 
-    [[nodiscard]] std::size_t choose(const std::vector<ReplicaView> &eligible, const RouteRequest & /*request*/, const RandomIndex & /*random*/) override
+    [[nodiscard]] std::size_t choose(
+        const std::vector<ReplicaView> &eligible, const RouteRequest & /*request*/, const RandomIndex & /*random*/) override
     {
         const auto fewest = std::ranges::min_element(eligible, {}, [](const ReplicaView &view) {
             return view.own.requests;
@@ -101,7 +103,8 @@
         return "round_robin";
     }
 
-    [[nodiscard]] std::size_t choose(const std::vector<ReplicaView> &eligible, const RouteRequest & /*request*/, const RandomIndex & /*random*/) override
+    [[nodiscard]] std::size_t choose(
+        const std::vector<ReplicaView> &eligible, const RouteRequest & /*request*/, const RandomIndex & /*random*/) override
     {
         return m_turn.fetch_add(1, std::memory_order_relaxed) % eligible.size();
     }
@@ -173,8 +176,8 @@
     return nullptr;
 }
 
-std::optional<RouteChoice>
-route(RoutingPolicy &policy, const std::vector<ReplicaView> &replicas, const RouteRequest &request, TimePoint now, const RandomIndex &random)
+std::optional<RouteChoice> route(
+    RoutingPolicy &policy, const std::vector<ReplicaView> &replicas, const RouteRequest &request, TimePoint now, const RandomIndex &random)
 {
     std::vector<ReplicaView> eligible;
     std::ranges::copy_if(replicas, std::back_inserter(eligible), [&](const ReplicaView &view) {
--- a/src/protocol/completion.cpp
+++ b/src/protocol/completion.cpp
@@ -109,8 +109,8 @@
     return "event: error\ndata: " + problem + "\n\n";
 }
 
-std::string
-encodeWholeAnswer(const RequestId &request, CompletionStyle style, const std::string &text, const std::string &finishReason, std::int64_t tokens)
+std::string encodeWholeAnswer(
+    const RequestId &request, CompletionStyle style, const std::string &text, const std::string &finishReason, std::int64_t tokens)
 {
     json::object choice;
     choice["index"] = 0;
--- a/src/protocol/event_stream.cpp
+++ b/src/protocol/event_stream.cpp
@@ -53,7 +53,8 @@
         }
     }
     if (m_buffer.size() > m_maxEventBytes && m_buffer.find("\n\n") == std::string::npos) {
-        return fail(ErrorId::MessageTooLarge, "event_stream.feed", "", "an event is longer than " + std::to_string(m_maxEventBytes) + " bytes");
+        return fail(
+            ErrorId::MessageTooLarge, "event_stream.feed", "", "an event is longer than " + std::to_string(m_maxEventBytes) + " bytes");
     }
     return {};
 }
--- a/src/protocol/yaml_map.cpp
+++ b/src/protocol/yaml_map.cpp
@@ -36,8 +36,8 @@
 
 } // namespace
 
-YamlMap::YamlMap(YAML::Node node, std::string path, Faults &faults)
-    : m_node(std::move(node))
+YamlMap::YamlMap(const YAML::Node &node, std::string path, Faults &faults)
+    : m_node(node)
     , m_path(std::move(path))
     , m_faults(faults)
 {
--- a/src/state/configuration_codec.cpp
+++ b/src/state/configuration_codec.cpp
@@ -28,7 +28,8 @@
 
 /// Decodes every entry of a list, or gives the first fault.
 template<typename T>
-Result<std::vector<T>> decodeAll(const json::array &list, const std::string &peer, Result<T> (*decode)(const json::value &, const std::string &))
+Result<std::vector<T>> decodeAll(
+    const json::array &list, const std::string &peer, Result<T> (*decode)(const json::value &, const std::string &))
 {
     std::vector<T> items;
     for (const json::value &entry : list) {
@@ -125,9 +126,9 @@
 
 json::object encodeCaller(const CallerSpec &caller)
 {
-    return {{"id", caller.id.value()},
-        {"key_sha256", caller.keySha256},
-        {"services", encodeAll(caller.services, [](const ServiceId &id) { return json::value(id.value()); })}};
+    return {{"id", caller.id.value()}, {"key_sha256", caller.keySha256}, {"services", encodeAll(caller.services, [](const ServiceId &id) {
+                                                                              return json::value(id.value());
+                                                                          })}};
 }
 
 Result<ServiceId> decodeServiceId(const json::value &value, const std::string &peer)
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -121,8 +121,8 @@
         const bool measured = acc::count(latency.summary) > Quantiles.size() * 2 + 3;
         for (const double quantile : Quantiles) {
             if (measured) {
-                out << name << "{quantile=\"" << quantile << "\"} "
-                    << acc::quantile(latency.summary, acc::quantile_probability = quantile) << '\n';
+                out << name << "{quantile=\"" << quantile << "\"} " << acc::quantile(latency.summary, acc::quantile_probability = quantile)
+                    << '\n';
             }
         }
         out << name << "_sum " << acc::sum(latency.summary) << '\n' << name << "_count " << acc::count(latency.summary) << '\n';
--- a/src/state/row_codec.cpp
+++ b/src/state/row_codec.cpp
@@ -188,10 +188,8 @@
     for (const Elector &elector : row.electorate) {
         electorate.push_back(json::object{{"node", elector.node.value()}, {"incarnation", elector.incarnation.value()}});
     }
-    return json::serialize(json::object{{"version", row.version.value()},
-        {"digest", row.digest.value()},
-        {"electorate", electorate},
-        {"attempt", row.attempt.value()}});
+    return json::serialize(json::object{
+        {"version", row.version.value()}, {"digest", row.digest.value()}, {"electorate", electorate}, {"attempt", row.attempt.value()}});
 }
 
 Result<ConfigurationRow> decodeConfigurationRow(std::string_view text)
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -87,7 +87,8 @@
                 co_return Failure(bytes.error());
             }
             if (bytes->empty()) {
-                co_return fail(ErrorId::ConnectionLost, "engine.next", m_peer, "the stream ended without a finish reason", Delivery::MaybeSent);
+                co_return fail(
+                    ErrorId::ConnectionLost, "engine.next", m_peer, "the stream ended without a finish reason", Delivery::MaybeSent);
             }
             const Result<void> fed = m_reader.feed(*bytes);
             if (!fed) {
@@ -167,7 +168,8 @@
     if (!head->success()) {
         co_return notStarted(*head, replica);
     }
-    std::unique_ptr<EngineStream> stream = std::make_unique<HttpEngineStream>(std::move(*connection), incarnationOf(*head), replica.address.text());
+    std::unique_ptr<EngineStream> stream =
+        std::make_unique<HttpEngineStream>(std::move(*connection), incarnationOf(*head), replica.address.text());
     co_return stream;
 }
 
@@ -176,8 +178,8 @@
     co_return co_await start(std::move(replica), postJson("/v1/completions", encodeEngineRequest(request)), timeout);
 }
 
-asio::awaitable<Result<std::unique_ptr<EngineStream>>>
-HttpEngineStreams::resume(ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout)
+asio::awaitable<Result<std::unique_ptr<EngineStream>>> HttpEngineStreams::resume(
+    ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout)
 {
     HttpRequest request = get("/v1/streams/" + stream);
     request.query = "from=" + std::to_string(offset);
@@ -213,7 +215,8 @@
     if (!connection) {
         co_return Failure(connection.error());
     }
-    std::unique_ptr<EngineChannel> channel = std::make_unique<HttpEngineChannel>(std::move(*connection), std::move(replica), m_times.control);
+    std::unique_ptr<EngineChannel> channel =
+        std::make_unique<HttpEngineChannel>(std::move(*connection), std::move(replica), m_times.control);
     co_return channel;
 }
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -18,7 +18,7 @@
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
+using asio::ip::tcp;
 
 namespace
 {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -18,7 +18,7 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
+using asio::ip::tcp;
 
 namespace
 {
@@ -151,7 +151,8 @@
 /// The problem that answers a request which cannot be read; status 0 where no answer is due.
 Problem unreadable(const beast::error_code &code)
 {
-    Problem problem{.status = 400, .reason = "malformed_request", .detail = "", .notRun = true, .step = "http.read", .peer = "", .retryAfter = {}};
+    Problem problem{
+        .status = 400, .reason = "malformed_request", .detail = "", .notRun = true, .step = "http.read", .peer = "", .retryAfter = {}};
     problem.detail = "The request cannot be read as HTTP/1.1: " + code.message() + ". Nothing of it was run.";
     if (code == http::error::header_limit) {
         problem.status = 431;
@@ -257,12 +258,20 @@
     const std::string peer = remote.address().to_string() + ':' + std::to_string(remote.port());
     beast::tcp_stream stream(std::move(socket));
     if (connections.fetch_add(1) >= limits.connections) {
-        Problem problem{.status = 503, .reason = "too_many_connections", .detail = "", .notRun = true, .step = "http.accept", .peer = peer, .retryAfter = {}};
+        Problem problem{.status = 503,
+            .reason = "too_many_connections",
+            .detail = "",
+            .notRun = true,
+            .step = "http.accept",
+            .peer = peer,
+            .retryAfter = {}};
         problem.detail = "This node holds as many connections as its settings allow. Ask GET /v1/entry at another node.";
         co_await refuse(stream, peer, problem);
     } else {
         beast::flat_buffer buffer;
-        while (co_await serveOne(stream, buffer, peer)) {
+        bool another = true;
+        while (another) {
+            another = co_await serveOne(stream, buffer, peer);
         }
     }
     --connections;
@@ -289,10 +298,18 @@
         }
     };
     tcp::acceptor &acceptor = m_impl->acceptor;
-    attempt([&] { acceptor.open(address.protocol(), code); });
-    attempt([&] { acceptor.set_option(asio::socket_base::reuse_address(true), code); });
-    attempt([&] { acceptor.bind(address, code); });
-    attempt([&] { acceptor.listen(asio::socket_base::max_listen_connections, code); });
+    attempt([&] {
+        acceptor.open(address.protocol(), code);
+    });
+    attempt([&] {
+        acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    });
+    attempt([&] {
+        acceptor.bind(address, code);
+    });
+    attempt([&] {
+        acceptor.listen(asio::socket_base::max_listen_connections, code);
+    });
     if (code) {
         return fail(ErrorId::ListenFailed,
             "http.listen",
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,8 +19,8 @@
 {
 
 namespace beast = boost::beast;
-using tcp = asio::ip::tcp;
-using udp = asio::ip::udp;
+using asio::ip::tcp;
+using asio::ip::udp;
 
 namespace
 {
@@ -61,7 +62,8 @@
     }
     const std::uint32_t size = boost::endian::load_big_u32(length.data());
     if (size > MaxFrameBytes) {
-        co_return fail(ErrorId::MessageTooLarge, "peer.read_frame", peer, "a frame is longer than " + std::to_string(MaxFrameBytes) + " bytes");
+        co_return fail(
+            ErrorId::MessageTooLarge, "peer.read_frame", peer, "a frame is longer than " + std::to_string(MaxFrameBytes) + " bytes");
     }
     std::string bytes(size, '\0');
     co_await asio::async_read(stream, asio::buffer(bytes), asio::redirect_error(Complete, code));
@@ -112,12 +114,24 @@
     };
     const tcp::endpoint tcpEndpoint(address, endpoint.port);
     const udp::endpoint udpEndpoint(address, endpoint.port);
-    attempt([&] { acceptor.open(tcpEndpoint.protocol(), code); });
-    attempt([&] { acceptor.set_option(asio::socket_base::reuse_address(true), code); });
-    attempt([&] { acceptor.bind(tcpEndpoint, code); });
-    attempt([&] { acceptor.listen(asio::socket_base::max_listen_connections, code); });
-    attempt([&] { socket.open(udpEndpoint.protocol(), code); });
-    attempt([&] { socket.bind(udpEndpoint, code); });
+    attempt([&] {
+        acceptor.open(tcpEndpoint.protocol(), code);
+    });
+    attempt([&] {
+        acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    });
+    attempt([&] {
+        acceptor.bind(tcpEndpoint, code);
+    });
+    attempt([&] {
+        acceptor.listen(asio::socket_base::max_listen_connections, code);
+    });
+    attempt([&] {
+        socket.open(udpEndpoint.protocol(), code);
+    });
+    attempt([&] {
+        socket.bind(udpEndpoint, code);
+    });
     if (code) {
         return fail(ErrorId::ListenFailed, "peer.listen", endpoint.text(), code.message() + "; check peer_address in the settings");
     }
@@ -237,7 +251,7 @@
 {
     m_impl->onHeartbeat = std::move(onHeartbeat);
     m_impl->onRequest = std::move(onRequest);
-    const Result<void> bound = m_impl->bind(endpoint);
+    Result<void> bound = m_impl->bind(endpoint);
     if (!bound) {
         return bound;
     }
--- a/src/transport/peer_seal.cpp
+++ b/src/transport/peer_seal.cpp
@@ -39,7 +39,10 @@
 Result<std::string> PeerSeal::open(std::string_view sealed, const std::string &peer) const
 {
     const auto refused = [&peer] {
-        return fail(ErrorId::Refused, "peer.open", peer, "the message is not sealed with this desk's peer key; do all nodes have the same peer_key?");
+        return fail(ErrorId::Refused,
+            "peer.open",
+            peer,
+            "the message is not sealed with this desk's peer key; do all nodes have the same peer_key?");
     };
     if (sealed.size() < CodeBytes) {
         return refused();
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -33,7 +33,8 @@
 Failure unavailable(const HttpResponse &response, const char *step, const Endpoint &peer)
 {
     const Delivery delivery = response.status == RateLimited ? Delivery::NotSent : Delivery::MaybeSent;
-    return fail(ErrorId::StoreUnavailable, step, peer.text(), "the platform answers with status " + std::to_string(response.status), delivery);
+    return fail(
+        ErrorId::StoreUnavailable, step, peer.text(), "the platform answers with status " + std::to_string(response.status), delivery);
 }
 
 Failure unreachable(Error error, const char *step)
@@ -79,8 +80,8 @@
     constexpr const char *Step = "table.write";
     json::object body{{"table", write.key.table}, {"key", write.key.key}, {"expected", write.expected.value()}, {"text", write.text}};
     if (write.guard) {
-        body["guard"] = json::object{
-            {"table", write.guard->key.table}, {"key", write.guard->key.key}, {"version", write.guard->version.value()}};
+        body["guard"] =
+            json::object{{"table", write.guard->key.table}, {"key", write.guard->key.key}, {"version", write.guard->version.value()}};
     }
     const auto response = co_await m_client.exchange(m_access.endpoint, post("/v1/rows/write", body), m_access.timeout);
     if (!response) {
--- a/standins/booking_main.cpp
+++ b/standins/booking_main.cpp
@@ -49,9 +49,7 @@
             co_await book(request, responder);
         } else if (request.path == "/visits/by-key") {
             co_await lookUp(request, responder);
-        } else if (request.path == "/week") {
-            (void)co_await responder.respond(jsonResponse(200, runs()));
-        } else if (request.path == "/runs") {
+        } else if (request.path == "/week" || request.path == "/runs") {
             (void)co_await responder.respond(jsonResponse(200, runs()));
         } else {
             co_await respondNotFound(responder);
--- a/tests/fakes/configuration_cluster.h
+++ b/tests/fakes/configuration_cluster.h
@@ -36,7 +36,8 @@
 /// One process of one node.
 struct ClusterNode
 {
-    ClusterNode(Bench &bench, standins::PlatformStore &store, FakeObjects &objects, const Cuts &cuts, std::size_t index, Incarnation incarnation)
+    ClusterNode(
+        Bench &bench, standins::PlatformStore &store, FakeObjects &objects, const Cuts &cuts, std::size_t index, Incarnation incarnation)
         : name("node-" + std::to_string(index))
         , process{NodeId(name), incarnation}
         , address{"127.0.0.1", static_cast<std::uint16_t>(100 + index)}
--- a/tests/src/unit-configuration.cpp
+++ b/tests/src/unit-configuration.cpp
@@ -81,7 +81,8 @@
 {
     Settled cluster;
     for (std::size_t index = 0; index < 3; ++index) {
-        const auto accepted = cluster.accept((index + 1) % 3, smallConfiguration("v" + std::to_string(index)), cluster.versionAt((index + 1) % 3));
+        const auto accepted =
+            cluster.accept((index + 1) % 3, smallConfiguration("v" + std::to_string(index)), cluster.versionAt((index + 1) % 3));
         BOOST_TEST(accepted.has_value());
         cluster.restart(index);
         cluster.live(4s);
--- a/tests/src/unit-history.cpp
+++ b/tests/src/unit-history.cpp
@@ -87,10 +87,23 @@
     HistoryNode(Bench &bench, standins::PlatformStore &store, FakeConnector &connector, Faults &faults, std::size_t index)
         : table(store, bench)
         , decisions(bench.clock, 10)
-        , lease(table, bench.clock, decisions, metrics, {NodeId("node-" + std::to_string(index)), Incarnation(1)}, DutyId("cell"), LeaseTimes())
-        , orders(table, connector, lease, bench.clock, decisions, metrics, {NodeId("node-" + std::to_string(index)), Incarnation(1)}, [](const ProcessId &) {
-            return false;
-        })
+        , lease(table,
+              bench.clock,
+              decisions,
+              metrics,
+              {NodeId("node-" + std::to_string(index)), Incarnation(1)},
+              DutyId("cell"),
+              LeaseTimes())
+        , orders(table,
+              connector,
+              lease,
+              bench.clock,
+              decisions,
+              metrics,
+              {NodeId("node-" + std::to_string(index)), Incarnation(1)},
+              [](const ProcessId &) {
+                  return false;
+              })
     {
         table.course = [&faults](bool) {
             return faults.tableCourse();
--- /dev/null
+++ b/tests/src/unit-routing.cpp
@@ -0,0 +1,201 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <random>
+
+#include "apricotarch/coordination/admission.h"
+#include "apricotarch/coordination/retry_budget.h"
+#include "apricotarch/coordination/routing.h"
+
+using namespace apricotarch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const TimePoint Now = TimePoint(std::chrono::hours(1));
+const ModelSpec Plan{"plan", "", "3"};
+
+ReplicaView engine(const char *id)
+{
+    ReplicaView view;
+    view.spec.id = ReplicaId(id);
+    view.spec.zone = ZoneId("a");
+    view.health = ReplicaHealth::Up;
+    LoadReport report;
+    report.state.model = Plan;
+    report.slots = 4;
+    report.freePieces = KvPieces(2000);
+    report.prefillRate = 1000;
+    report.decodeRate = 100;
+    view.report = report;
+    return view;
+}
+
+RouteRequest question()
+{
+    RouteRequest request;
+    request.prompt = Tokens(100);
+    request.output = Tokens(10);
+    request.zone = ZoneId("a");
+    request.model = Plan;
+    return request;
+}
+
+std::size_t firstOf(std::size_t /*limit*/)
+{
+    return 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(routing)
+
+BOOST_AUTO_TEST_SUITE(eligibility)
+
+BOOST_AUTO_TEST_CASE(leaves_out_what_must_not_get_work)
+{
+    const auto eligible = [](auto change) {
+        ReplicaView view = engine("e");
+        change(view);
+        return isEligible(view, question(), Now);
+    };
+    BOOST_TEST(eligible([](ReplicaView &) {}));
+    BOOST_TEST(!eligible([](ReplicaView &view) {
+        view.health = ReplicaHealth::Leaving;
+    }));
+    BOOST_TEST(!eligible([](ReplicaView &view) {
+        view.vmLeaving = true;
+    }));
+    BOOST_TEST(!eligible([](ReplicaView &view) {
+        view.report->changing = true;
+    }));
+    BOOST_TEST(!eligible([](ReplicaView &view) {
+        view.report.reset();
+    }));
+    BOOST_TEST(!eligible([](ReplicaView &view) {
+        view.report->state.model.model = "other";
+    }));
+    BOOST_TEST(eligible([](ReplicaView &view) {
+        view.report->state.model.version = "4";
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(lets_a_suspect_in_again_after_its_pause)
+{
+    ReplicaView view = engine("e");
+    view.health = ReplicaHealth::Suspect;
+    view.suspectUntil = Now + 1s;
+    BOOST_TEST(!isEligible(view, question(), Now));
+    BOOST_TEST(isEligible(view, question(), Now + 1s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(prediction)
+
+BOOST_AUTO_TEST_CASE(adds_queue_prompt_and_output)
+{
+    ReplicaView view = engine("e");
+    view.report->queuedPrefill = Tokens(400);
+    view.sinceReport.prompt = Tokens(500);
+    const Prediction prediction = predict(view, question());
+    BOOST_TEST(toMilliseconds(prediction.firstToken) == 1000);
+    BOOST_TEST(toMilliseconds(prediction.total) == 1100);
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_a_place_in_a_full_batch)
+{
+    ReplicaView view = engine("e");
+    view.report->running = 4;
+    BOOST_TEST((predict(view, question()).firstToken > predict(engine("f"), question()).firstToken));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(predicted_time)
+
+BOOST_AUTO_TEST_CASE(avoids_the_engine_with_the_longer_queue)
+{
+    ReplicaView busy = engine("busy");
+    busy.report->queuedPrefill = Tokens(5000);
+    const auto policy = makePredictedTimePolicy();
+    const auto choice = route(*policy, {busy, engine("free")}, question(), Now, firstOf);
+    BOOST_TEST(choice->replica.id.value() == "free");
+}
+
+BOOST_AUTO_TEST_CASE(sees_what_it_has_itself_dispatched_since_the_report)
+{
+    ReplicaView fed = engine("fed");
+    fed.sinceReport.prompt = Tokens(5000);
+    const auto policy = makePredictedTimePolicy();
+    const auto choice = route(*policy, {fed, engine("free")}, question(), Now, firstOf);
+    BOOST_TEST(choice->replica.id.value() == "free");
+}
+
+BOOST_AUTO_TEST_CASE(spreads_over_equal_engines_so_that_nodes_with_one_view_do_not_herd)
+{
+    std::mt19937 engineOfChance(7);
+    const RandomIndex random = [&](std::size_t limit) {
+        return std::uniform_int_distribution<std::size_t>(0, limit - 1)(engineOfChance);
+    };
+    const auto policy = makePredictedTimePolicy();
+    std::map<std::string, int> counts;
+    for (int request = 0; request < 300; ++request) {
+        ++counts[route(*policy, {engine("a"), engine("b"), engine("c")}, question(), Now, random)->replica.id.value()];
+    }
+    for (const auto &[id, count] : counts) {
+        BOOST_TEST(count > 60);
+    }
+    BOOST_TEST(counts.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(baselines_are_known_by_name)
+{
+    BOOST_TEST((makePolicy("round_robin") != nullptr));
+    BOOST_TEST((makePolicy("least_outstanding") != nullptr));
+    BOOST_TEST((makePolicy("no_such_policy") == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE(admission)
+
+BOOST_AUTO_TEST_CASE(keeps_one_caller_from_starving_another)
+{
+    AdmissionGate gate({10, 0.5});
+    int greedy = 0;
+    BOOST_TEST(gate.enter(CallerId("modest")).empty());
+    while (gate.enter(CallerId("greedy")).empty()) {
+        ++greedy;
+    }
+    BOOST_TEST(greedy == 5);
+    BOOST_TEST(gate.enter(CallerId("greedy")) == "caller_share_used");
+    BOOST_TEST(gate.enter(CallerId("modest")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(refuses_beyond_the_limit_and_takes_places_back)
+{
+    AdmissionGate gate({1, 1.0});
+    BOOST_TEST(gate.enter(CallerId("a")).empty());
+    BOOST_TEST(gate.enter(CallerId("b")) == "node_full");
+    gate.leave(CallerId("a"));
+    BOOST_TEST(gate.enter(CallerId("b")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_within_their_budget)
+{
+    RetryBudget budget(0.1, 2);
+    BOOST_TEST(budget.takeRetry());
+    BOOST_TEST(budget.takeRetry());
+    BOOST_TEST(!budget.takeRetry());
+    for (int request = 0; request < 11; ++request) {
+        budget.admitted();
+    }
+    BOOST_TEST(budget.takeRetry());
+    BOOST_TEST(!budget.takeRetry());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
