--- a/include/apricotarch/app/node.h
+++ b/include/apricotarch/app/node.h
@@ -127,7 +127,7 @@
     RetryBudget m_retries;
     std::unique_ptr<RoutingPolicy> m_policy;
     std::unique_ptr<RoutingPolicy> m_applicationPolicy;
-    AdmissionGate m_admission;
+    boost::intrusive_ptr<AdmissionGate> m_admission;
     LanguageCalls m_languageCalls;
     ApplicationCalls m_applicationCalls;
     std::atomic<bool> m_draining = false;
--- a/include/apricotarch/coordination/admission.h
+++ b/include/apricotarch/coordination/admission.h
@@ -11,6 +11,9 @@
 #include <mutex>
 #include <string>
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include "apricotarch/base/clock.h"
 #include "apricotarch/base/ids.h"
 
@@ -24,8 +27,8 @@
     double fairFrom = 0.5; ///< Share of the limit from which callers are held to equal shares.
 };
 
-/// Counts requests in flight and refuses those beyond the limits. Thread-safe.
-class AdmissionGate
+/// Counts requests in flight and refuses those beyond the limits. Thread-safe. Lives as long as a place at it is held.
+class AdmissionGate : public boost::intrusive_ref_counter<AdmissionGate>
 {
 public:
     explicit AdmissionGate(AdmissionLimits limits);
@@ -62,13 +65,13 @@
 class AdmissionPlace
 {
 public:
-    AdmissionPlace(AdmissionGate &gate, CallerId caller);
+    AdmissionPlace(boost::intrusive_ptr<AdmissionGate> gate, CallerId caller);
     AdmissionPlace(const AdmissionPlace &) = delete;
     AdmissionPlace &operator=(const AdmissionPlace &) = delete;
     ~AdmissionPlace();
 
 private:
-    AdmissionGate &m_gate;
+    boost::intrusive_ptr<AdmissionGate> m_gate;
     CallerId m_caller;
 };
 
--- a/include/apricotarch/state/metrics.h
+++ b/include/apricotarch/state/metrics.h
@@ -48,6 +48,9 @@
     /// Adds one to a counter. Logarithmic in the labels of the family.
     void increment(CounterFamily family, std::string_view label);
 
+    /// Adds to a counter. @param amount not negative
+    void add(CounterFamily family, std::string_view label, std::uint64_t amount);
+
     /// Present value of a counter; 0 where it was never incremented.
     [[nodiscard]] std::uint64_t count(CounterFamily family, std::string_view label) const;
 
--- a/src/app/caller_api.cpp
+++ b/src/app/caller_api.cpp
@@ -120,8 +120,11 @@
         problem.retryAfter = std::chrono::seconds(1);
         return tl::unexpected(problem);
     }
-    Admitted admitted{
-        std::move(admissibility.inForce), caller->id, found, std::make_unique<AdmissionPlace>(node.admission(), caller->id), {}};
+    Admitted admitted{std::move(admissibility.inForce),
+        caller->id,
+        found,
+        std::make_unique<AdmissionPlace>(boost::intrusive_ptr<AdmissionGate>(&node.admission()), caller->id),
+        {}};
     const std::int64_t usual = found->deadline.count();
     const std::int64_t asked = headerNumber(request, "X-Deadline-Ms").value_or(usual);
     admitted.deadline = node.clock().now() + std::chrono::milliseconds(std::clamp<std::int64_t>(asked, 1, usual));
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -87,7 +87,7 @@
     , m_retries(RetryShare, RetryReserve)
     , m_policy(makePolicy(m_settings.routing))
     , m_applicationPolicy(makeLeastOutstandingPolicy())
-    , m_admission({m_settings.inFlight})
+    , m_admission(new AdmissionGate({m_settings.inFlight}))
     , m_languageCalls(
           {m_engines, m_fleet, m_crashes, m_retries, *m_policy, m_members, m_clock, m_decisions, m_metrics, randomIndex(), m_settings.zone},
           LanguageCallTimes())
@@ -172,7 +172,7 @@
 asio::awaitable<void> Node::beatRound()
 {
     m_membership.review();
-    const Heartbeat heartbeat = m_membership.compose(m_draining, m_admission.loadShare(), m_cell.drainingReplicas());
+    const Heartbeat heartbeat = m_membership.compose(m_draining, m_admission->loadShare(), m_cell.drainingReplicas());
     for (const PeerSettings &peer : receivers()) {
         m_peers.beat(peer.address, m_membership.addressed(heartbeat, peer.node));
     }
@@ -275,16 +275,16 @@
 {
     const TimePoint begun = m_clock.now();
     m_draining = true;
-    LogEvent("node.draining").field("in_flight", m_admission.inFlight());
+    LogEvent("node.draining").field("in_flight", m_admission->inFlight());
     co_await beatRound();
     co_await m_lease.release();
     co_await m_clock.sleep(DrainNotice);
-    while (m_admission.inFlight() > 0 && m_clock.now() - begun < m_settings.shutdownBound) {
+    while (m_admission->inFlight() > 0 && m_clock.now() - begun < m_settings.shutdownBound) {
         co_await m_clock.sleep(DrainPoll);
     }
     co_await m_claims.settleAbandoned();
-    LogEvent("node.stopped", m_admission.inFlight() > 0 ? LogEvent::Level::Warning : LogEvent::Level::Info)
-        .field("remaining_requests", m_admission.inFlight())
+    LogEvent("node.stopped", m_admission->inFlight() > 0 ? LogEvent::Level::Warning : LogEvent::Level::Info)
+        .field("remaining_requests", m_admission->inFlight())
         .field("unsettled_claims", m_claims.unsettled())
         .field("took_ms", toMilliseconds(m_clock.now() - begun));
 }
@@ -346,7 +346,7 @@
 
 AdmissionGate &Node::admission() noexcept
 {
-    return m_admission;
+    return *m_admission;
 }
 
 LanguageCalls &Node::languageCalls() noexcept
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -66,15 +66,15 @@
     return std::clamp(late, Shortest, Longest);
 }
 
-AdmissionPlace::AdmissionPlace(AdmissionGate &gate, CallerId caller)
-    : m_gate(gate)
+AdmissionPlace::AdmissionPlace(boost::intrusive_ptr<AdmissionGate> gate, CallerId caller)
+    : m_gate(std::move(gate))
     , m_caller(std::move(caller))
 {
 }
 
 AdmissionPlace::~AdmissionPlace()
 {
-    m_gate.leave(m_caller);
+    m_gate->leave(m_caller);
 }
 
 } // namespace apricotarch
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -75,15 +75,20 @@
 Metrics::~Metrics() = default;
 
 void Metrics::increment(CounterFamily family, std::string_view label)
+{
+    add(family, label, 1);
+}
+
+void Metrics::add(CounterFamily family, std::string_view label, std::uint64_t amount)
 {
     Family &shard = m_families.at(static_cast<std::size_t>(family));
     const std::lock_guard lock(shard.mutex);
     const auto found = shard.counts.find(label);
     if (found != shard.counts.end()) {
-        ++found->second;
+        found->second += amount;
         return;
     }
-    shard.counts.emplace(std::string(label), 1);
+    shard.counts.emplace(std::string(label), amount);
 }
 
 std::uint64_t Metrics::count(CounterFamily family, std::string_view label) const
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -58,6 +59,44 @@
     return request;
 }
 
+/// Ends a read that takes too long, and leaves the connection open for an answer; the stream's own timeout would close it.
+class ReadDeadline : public std::enable_shared_from_this<ReadDeadline>
+{
+public:
+    ReadDeadline(beast::tcp_stream &stream, std::chrono::milliseconds timeout)
+        : m_stream(stream)
+        , m_timer(stream.get_executor(), timeout)
+    {
+    }
+
+    void start()
+    {
+        m_stream.expires_never();
+        m_timer.async_wait([self = shared_from_this()](const beast::error_code &code) {
+            if (!code && !self->m_ended) {
+                self->m_late = true;
+                self->m_stream.cancel();
+            }
+        });
+    }
+
+    /// The read is over. @param code set to a timeout where this deadline ended it
+    void end(beast::error_code &code)
+    {
+        m_ended = true;
+        m_timer.cancel();
+        if (m_late && code) {
+            code = beast::error::timeout;
+        }
+    }
+
+private:
+    beast::tcp_stream &m_stream;
+    asio::steady_timer m_timer;
+    bool m_ended = false;
+    bool m_late = false;
+};
+
 /// Answers one request on a Beast stream.
 class BeastResponder final : public HttpResponder
 {
@@ -229,9 +268,11 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
-    stream.expires_after(limits.requestTimeout);
+    const auto deadline = std::make_shared<ReadDeadline>(stream, limits.requestTimeout);
+    deadline->start();
     beast::error_code code;
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(Complete, code));
+    deadline->end(code);
     if (code) {
         const Problem problem = unreadable(code);
         if (problem.status != 0 && (parser.got_some() || buffer.size() > 0)) {
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -278,6 +278,7 @@
         m_impl->socket.send_to(asio::buffer(bytes), address, 0, code);
     }
     m_impl->metrics.increment(CounterFamily::Peers, code ? "beat_not_sent" : "beat_sent");
+    m_impl->metrics.add(CounterFamily::Peers, "beat_bytes_sent", code ? 0 : bytes.size());
 }
 
 asio::awaitable<Result<CommittedConfiguration>> PeerTransport::fetchCommitted(Endpoint peer)
--- a/tests/fakes/manual_clock.h
+++ b/tests/fakes/manual_clock.h
@@ -70,6 +70,8 @@
 /// Runs coroutines under a manual clock.
 class Bench
 {
+    asio::io_context m_loop{1}; // Outlives the sleepers, whose coroutines end with the clock.
+
 public:
     ManualClock clock;
 
@@ -129,8 +131,6 @@
         m_loop.restart();
         m_loop.poll();
     }
-
-    asio::io_context m_loop{1};
 };
 
 } // namespace apricotarch::fakes
--- a/tests/src/unit-cell.cpp
+++ b/tests/src/unit-cell.cpp
@@ -89,7 +89,9 @@
     ConfigurationInForce inForce;
     ProcessId self{NodeId("n"), Incarnation(1)};
     LeaseKeeper lease{table, bench.clock, decisions, metrics, self, DutyId("cell"), LeaseTimes()};
-    OrderKeeper orders{table, connector, lease, bench.clock, decisions, metrics, self, [](const ProcessId &) { return false; }};
+    OrderKeeper orders{table, connector, lease, bench.clock, decisions, metrics, self, [](const ProcessId &) {
+                           return false;
+                       }};
     CellKeeper cell{orders, lease, fleet, bench.clock, metrics, ZoneId(), CellTimes()};
 };
 
