Offer to all members at once; predict load on top of late reports

Change: offers at once, bounded at 1.5 s; a report takes off only dispatches older than its lag; other nodes are taken to have dispatched as much as this one; admission keeps a margin of 10%.

--- a/include/apricotarch/coordination/admission.h
+++ b/include/apricotarch/coordination/admission.h
@@ -55,7 +55,7 @@
     std::size_t m_inFlight = 0;
 };
 
-/// Whether an answer predicted to take @p predicted can be ready within @p left.
+/// Whether an answer predicted to take @p predicted is ready within @p left, with a margin for late reports.
 [[nodiscard]] bool canBeInTime(Duration predicted, Duration left) noexcept;
 
 /// When a refused caller may try again, from how late its answer would have been; at least 1 s, at most 30 s.
--- a/include/apricotarch/coordination/configuration_keeper.h
+++ b/include/apricotarch/coordination/configuration_keeper.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 
 #include "apricotarch/coordination/adoption.h"
@@ -111,12 +112,14 @@
     {
         std::set<ProcessId> holding;
         std::set<ProcessId> ended;
+        std::size_t unanswered = 0; ///< Offers that are still on their way.
     };
 
     [[nodiscard]] asio::awaitable<Result<std::optional<CommittedConfiguration>>> readRow();
     [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> commit(
         CommittedConfiguration base, std::string body, Digest digest, bool newVersion);
-    [[nodiscard]] asio::awaitable<Offering> offerToMembers(std::vector<Elector> electorate, ConfigurationOffer offer);
+    [[nodiscard]] asio::awaitable<std::shared_ptr<const Offering>> offerToMembers(std::vector<Elector> electorate, ConfigurationOffer offer);
+    [[nodiscard]] asio::awaitable<void> offerTo(std::shared_ptr<Offering> offering, MemberView member, ConfigurationOffer offer);
     [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> writeRow(const CommittedConfiguration &base, ConfigurationRow row);
     [[nodiscard]] asio::awaitable<void> withdraw(CommittedConfiguration base);
     [[nodiscard]] asio::awaitable<void> bringIntoForce();
--- a/include/apricotarch/coordination/routing.h
+++ b/include/apricotarch/coordination/routing.h
@@ -27,6 +27,7 @@
     Tokens output; ///< Expected length of the answer.
     ZoneId zone; ///< Of the node that asks.
     ModelSpec model; ///< Empty for application services.
+    int nodes = 1; ///< Nodes that dispatch to the same replicas, this one included.
     std::set<ReplicaId> excluded; ///< Tried already, draining, or kept for others.
 };
 
--- a/include/apricotarch/state/fleet.h
+++ b/include/apricotarch/state/fleet.h
@@ -6,6 +6,7 @@
  */
 
 #include <array>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -43,6 +44,17 @@
     Tokens output;
 };
 
+/// Work dispatched at one moment.
+struct Dispatch
+{
+    TimePoint at;
+    Tokens prompt;
+    Tokens output;
+};
+
+/// Longest time that a report is taken to be behind the moment at which it was asked for.
+inline constexpr std::chrono::milliseconds ReportLag{150};
+
 /// Health of a replica as one node sees it.
 enum class ReplicaHealth {
     Unknown, ///< No report yet.
@@ -59,7 +71,8 @@
     ReplicaHealth health = ReplicaHealth::Unknown;
     std::optional<LoadReport> report;
     TimePoint reportedAt;
-    Outstanding sinceReport; ///< Dispatched by this node after the report's moment.
+    std::deque<Dispatch> recent; ///< Dispatched by this node after the report's moment, oldest first.
+    Outstanding sinceReport; ///< Sum of the recent ones.
     Outstanding own; ///< All that this node has outstanding there.
     Outstanding peers; ///< What other nodes say they have outstanding there.
     bool vmLeaving = false; ///< The VM list shows its VM as leaving or gone.
@@ -78,7 +91,7 @@
 
     // ---- reports ----
 
-    /// Takes a report in. Work dispatched before @p askedAt counts as seen by it.
+    /// Takes a report in. It is of a moment up to ReportLag before @p askedAt; work dispatched since counts on top of it.
     void report(const ReplicaId &id, const LoadReport &report, TimePoint askedAt);
 
     /// Takes a failure in; the replica is left alone for a pause that doubles with each failure in a row.
@@ -93,7 +106,7 @@
     // ---- dispatch ----
 
     /// Counts a request as dispatched.
-    void dispatched(const ReplicaId &id, Tokens prompt, Tokens output);
+    void dispatched(const ReplicaId &id, Tokens prompt, Tokens output, TimePoint now);
 
     /// Counts a request as ended. @param answered whether the replica behaved
     void ended(const ReplicaId &id, Tokens prompt, Tokens output, bool answered);
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -55,7 +55,8 @@
 
 bool canBeInTime(Duration predicted, Duration left) noexcept
 {
-    return predicted <= left;
+    constexpr int MarginPercent = 10;
+    return predicted + predicted * MarginPercent / 100 <= left;
 }
 
 std::chrono::seconds retryAfter(Duration predicted, Duration left) noexcept
--- a/src/coordination/application_call.cpp
+++ b/src/coordination/application_call.cpp
@@ -105,7 +105,7 @@
 asio::awaitable<Result<CallResult>> ApplicationCalls::callReplica(
     const ApplicationRequest &request, const ReplicaSpec &replica, ReplicaCall call)
 {
-    m_use.fleet.dispatched(replica.id, Tokens(), Tokens());
+    m_use.fleet.dispatched(replica.id, Tokens(), Tokens(), m_use.clock.now());
     Result<CallResult> result = co_await m_use.replicas.call(replica, std::move(call), left(request));
     m_use.fleet.ended(replica.id, Tokens(), Tokens(), result.has_value());
     if (!result) {
--- a/src/coordination/configuration_keeper.cpp
+++ b/src/coordination/configuration_keeper.cpp
@@ -3,6 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include "apricotarch/base/hash.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/state/configuration_codec.h"
@@ -16,6 +20,11 @@
 
 constexpr const char *Table = "config";
 constexpr const char *Key = "current";
+constexpr std::chrono::milliseconds OfferPoll{5};
+/// Time given to members beyond the majority, so that they need not fetch the body later.
+constexpr std::chrono::milliseconds OfferPatience{200};
+/// Members that have not answered by then do not count.
+constexpr std::chrono::milliseconds OfferBound{1500};
 
 RowKey rowKey()
 {
@@ -334,28 +343,42 @@
     return electorate;
 }
 
-asio::awaitable<ConfigurationKeeper::Offering> ConfigurationKeeper::offerToMembers(
+asio::awaitable<void> ConfigurationKeeper::offerTo(std::shared_ptr<Offering> offering, MemberView member, ConfigurationOffer offer)
+{
+    const Result<void> held = co_await m_use.peers.offer(member.last.peerAddress, std::move(offer));
+    if (held) {
+        offering->holding.insert({member.last.node, member.last.incarnation});
+    }
+    --offering->unanswered;
+}
+
+asio::awaitable<std::shared_ptr<const ConfigurationKeeper::Offering>> ConfigurationKeeper::offerToMembers(
     std::vector<Elector> electorate, ConfigurationOffer offer)
 {
-    Offering offering;
+    const auto offering = std::make_shared<Offering>();
     if (hold(offer)) {
-        offering.holding.insert(m_self);
+        offering->holding.insert(m_self);
     }
-    const TimePoint now = m_use.clock.now();
-    for (const MemberView &member : m_use.members.view(now)) {
-        const ProcessId process{member.last.node, member.last.incarnation};
-        if (member.status == MemberStatus::Gone || process.node == m_self.node) {
-            continue;
+    const TimePoint begun = m_use.clock.now();
+    for (const Elector &elector : electorate) {
+        const bool ownEarlier = elector.node == m_self.node && elector.incarnation < m_self.incarnation;
+        if (ownEarlier || m_use.members.ended(elector.node, elector.incarnation, begun)) {
+            offering->ended.insert({elector.node, elector.incarnation});
         }
-        const Result<void> held = co_await m_use.peers.offer(member.last.peerAddress, offer);
-        if (held) {
-            offering.holding.insert(process);
+    }
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    for (const MemberView &member : m_use.members.view(begun)) {
+        if (member.status != MemberStatus::Gone && member.last.node != m_self.node) {
+            ++offering->unanswered;
+            asio::co_spawn(executor, offerTo(offering, member, offer), asio::detached);
         }
     }
-    for (const Elector &elector : electorate) {
-        const bool ownEarlier = elector.node == m_self.node && elector.incarnation < m_self.incarnation;
-        if (ownEarlier || m_use.members.ended(elector.node, elector.incarnation, now)) {
-            offering.ended.insert({elector.node, elector.incarnation});
+    while (offering->unanswered > 0) {
+        co_await m_use.clock.sleep(OfferPoll);
+        const Duration waited = m_use.clock.now() - begun;
+        const bool enough = waited >= OfferPatience && offerHasMajority(electorate, offering->holding, offering->ended);
+        if (enough || waited >= OfferBound) {
+            break;
         }
     }
     co_return offering;
@@ -404,13 +427,13 @@
     CommittedConfiguration base, std::string body, Digest digest, bool newVersion)
 {
     const ConfigurationOffer offer{base.epoch, digest, std::move(body)};
-    const Offering offering = co_await offerToMembers(base.row.electorate, offer);
-    if (!offerHasMajority(base.row.electorate, offering.holding, offering.ended)) {
+    const std::shared_ptr<const Offering> offering = co_await offerToMembers(base.row.electorate, offer);
+    if (!offerHasMajority(base.row.electorate, offering->holding, offering->ended)) {
         co_await withdraw(base);
         co_return fail(ErrorId::NoMajority,
             "config.offer",
             "",
-            std::to_string(offering.holding.size()) + " nodes hold the offer, which is no majority of the "
+            std::to_string(offering->holding.size()) + " nodes hold the offer, which is no majority of the "
                 + std::to_string(base.row.electorate.size())
                 + " that have to; nothing was accepted. Try again when more nodes are reachable.");
     }
--- a/src/coordination/language_call.cpp
+++ b/src/coordination/language_call.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "apricotarch/coordination/admission.h"
+
 namespace apricotarch
 {
 
@@ -97,7 +99,7 @@
         co_return refuse(progress, reason, {ErrorId::NotFound, "request.choose", request.service.id.value(), detail, Delivery::NotSent});
     }
     const bool first = progress.attempts == 1 && !progress.resume;
-    if (first && choice->prediction.total > left(request)) {
+    if (first && !canBeInTime(choice->prediction.total, left(request))) {
         progress.outcome.predicted = choice->prediction.total;
         const std::string detail =
             "the answer is predicted to take " + milliseconds(choice->prediction.total) + ", longer than its deadline allows";
@@ -117,7 +119,7 @@
     const ReplicaSpec replica = choice.replica;
     const Tokens prompt = estimateTokens(request.prompt);
     const Duration firstWait = std::min(left(request), choice.prediction.firstToken * FirstWaitFactor + m_times.betweenPieces);
-    m_use.fleet.dispatched(replica.id, prompt, request.maxOutput);
+    m_use.fleet.dispatched(replica.id, prompt, request.maxOutput, m_use.clock.now());
     m_use.crashes.started(replica.id, request.content);
     Step step = Step::Failed;
     {
@@ -147,6 +149,7 @@
     wanted.model = request.service.model;
     wanted.excluded = progress.excluded;
     for (const MemberView &member : m_use.members.view(now)) {
+        wanted.nodes += member.status == MemberStatus::Alive ? 1 : 0;
         wanted.excluded.insert(member.last.drainingReplicas.begin(), member.last.drainingReplicas.end());
     }
     if (m_use.crashes.isSuspect(request.content, now)) {
--- a/src/coordination/routing.cpp
+++ b/src/coordination/routing.cpp
@@ -26,16 +26,17 @@
     return rate > 0 ? seconds(static_cast<double>(tokens.value()) / rate) : Duration::zero();
 }
 
-int requestsAt(const ReplicaView &view)
+/// Requests at a replica. Other nodes are taken to have dispatched as much since the report as this one.
+int requestsAt(const ReplicaView &view, int nodes)
 {
-    const int reported = view.report ? view.report->running + view.sinceReport.requests : 0;
+    const int reported = view.report ? view.report->running + view.sinceReport.requests * nodes : 0;
     return std::max(reported, view.own.requests + view.peers.requests);
 }
 
 /// Wait for a place in the batch, when every place is taken.
 Duration slotWait(const ReplicaView &view, const RouteRequest &request)
 {
-    const int waiting = requestsAt(view) - view.report->slots + 1;
+    const int waiting = requestsAt(view, request.nodes) - view.report->slots + 1;
     if (waiting <= 0) {
         return Duration::zero();
     }
@@ -139,7 +140,8 @@
     if (!view.report) {
         return {};
     }
-    const Tokens queued = view.report->queuedPrefill + view.sinceReport.prompt + request.prompt;
+    const Tokens sinceReport(view.sinceReport.prompt.value() * request.nodes);
+    const Tokens queued = view.report->queuedPrefill + sinceReport + request.prompt;
     Prediction prediction;
     prediction.firstToken = timeFor(queued, view.report->prefillRate) + slotWait(view, request);
     if (!fitsIntoPieces(view, request)) {
--- a/src/state/fleet.cpp
+++ b/src/state/fleet.cpp
@@ -26,6 +26,15 @@
     sum.output = std::max(Tokens(0), sum.output - output);
 }
 
+/// Takes off what a report of a moment has seen.
+void forgetSeen(ReplicaView &view, TimePoint reportedMoment)
+{
+    while (!view.recent.empty() && view.recent.front().at <= reportedMoment) {
+        subtract(view.sinceReport, view.recent.front().prompt, view.recent.front().output);
+        view.recent.pop_front();
+    }
+}
+
 } // namespace
 
 Fleet::Shard &Fleet::shardOf(const ReplicaId &id)
@@ -75,7 +84,7 @@
     change(id, [&](ReplicaView &view) {
         view.report = report;
         view.reportedAt = askedAt;
-        view.sinceReport = Outstanding();
+        forgetSeen(view, askedAt - ReportLag);
         view.health = report.leaving ? ReplicaHealth::Leaving : ReplicaHealth::Up;
         view.failures = 0;
     });
@@ -104,11 +113,12 @@
     });
 }
 
-void Fleet::dispatched(const ReplicaId &id, Tokens prompt, Tokens output)
+void Fleet::dispatched(const ReplicaId &id, Tokens prompt, Tokens output, TimePoint now)
 {
     change(id, [&](ReplicaView &view) {
         add(view.own, prompt, output);
         add(view.sinceReport, prompt, output);
+        view.recent.push_back({now, prompt, output});
     });
 }
 
@@ -116,7 +126,6 @@
 {
     change(id, [&](ReplicaView &view) {
         subtract(view.own, prompt, output);
-        subtract(view.sinceReport, prompt, output);
         if (answered) {
             view.failures = 0;
         }
--- a/tests/fakes/configuration_cluster.h
+++ b/tests/fakes/configuration_cluster.h
@@ -42,7 +42,7 @@
         , process{NodeId(name), incarnation}
         , address{"127.0.0.1", static_cast<std::uint16_t>(100 + index)}
         , table(store, bench)
-        , peers(name, cuts)
+        , peers(name, cuts, bench.clock)
         , members(MemberTimes())
         , crashes(CrashTimes())
         , decisions(bench.clock, 100)
--- a/tests/fakes/fake_peers.h
+++ b/tests/fakes/fake_peers.h
@@ -43,9 +43,10 @@
 class FakePeers final : public PeerLink
 {
 public:
-    FakePeers(std::string self, const Cuts &cuts)
+    FakePeers(std::string self, const Cuts &cuts, Clock &clock)
         : m_self(std::move(self))
         , m_cuts(cuts)
+        , m_clock(clock)
     {
     }
 
@@ -73,6 +74,7 @@
     {
         ConfigurationKeeper *keeper = reach(peer);
         if (keeper == nullptr) {
+            co_await m_clock.sleep(std::chrono::seconds(1)); // A cut is seen as a timeout only.
             co_return fail(ErrorId::ConnectFailed, "fake.offer", peer.text(), "cut off");
         }
         co_return keeper->hold(offer);
@@ -89,6 +91,7 @@
 
     std::string m_self;
     const Cuts &m_cuts;
+    Clock &m_clock;
 };
 
 } // namespace apricotarch::fakes
--- a/tests/src/unit-configuration.cpp
+++ b/tests/src/unit-configuration.cpp
@@ -93,6 +93,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(is_not_held_up_by_members_that_do_not_answer)
+{
+    ConfigurationCluster cluster(9);
+    cluster.live(2s);
+    BOOST_REQUIRE(cluster.accept(0, smallConfiguration("one"), 0).has_value());
+    cluster.live(2s);
+    cluster.bench.run(cluster.node(0).keeper.refreshElectorate());
+    for (const char *silent : {"node-5", "node-6", "node-7", "node-8"}) {
+        cluster.cuts.cut("node-0", silent);
+    }
+    const TimePoint submitted = cluster.bench.clock.now();
+    BOOST_REQUIRE(cluster.accept(0, smallConfiguration("two"), 1).has_value());
+    BOOST_TEST(toMilliseconds(cluster.bench.clock.now() - submitted) < 1000);
+    cluster.live(3s);
+    for (std::size_t index = 0; index < 9; ++index) {
+        BOOST_TEST((cluster.node(index).keeper.inForce()->committed.row.version == ConfigurationVersion(2)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(operators_that_race)
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -104,6 +104,31 @@
     BOOST_TEST(toMilliseconds(prediction.total) == 1100);
 }
 
+BOOST_AUTO_TEST_CASE(takes_other_nodes_to_have_dispatched_as_much_since_the_report)
+{
+    ReplicaView view = engine("e");
+    view.sinceReport.prompt = Tokens(100);
+    RouteRequest request = question();
+    request.nodes = 3;
+    BOOST_TEST(toMilliseconds(predict(view, request).firstToken) == 400);
+}
+
+BOOST_AUTO_TEST_CASE(counts_work_on_top_of_a_report_that_cannot_have_seen_it)
+{
+    Fleet fleet;
+    Configuration configuration;
+    ServiceSpec service;
+    service.id = ServiceId("s");
+    service.replicas = {{ReplicaId("e"), {"127.0.0.1", 1}, ZoneId("a"), true}};
+    configuration.services = {service};
+    fleet.assign(configuration);
+    fleet.dispatched(ReplicaId("e"), Tokens(10), Tokens(1), Now);
+    fleet.report(ReplicaId("e"), LoadReport(), Now + ReportLag - 1ms);
+    BOOST_TEST(fleet.replica(ReplicaId("e"))->sinceReport.requests == 1);
+    fleet.report(ReplicaId("e"), LoadReport(), Now + ReportLag);
+    BOOST_TEST(fleet.replica(ReplicaId("e"))->sinceReport.requests == 0);
+}
+
 BOOST_AUTO_TEST_CASE(waits_for_a_place_in_a_full_batch)
 {
     ReplicaView view = engine("e");
