Split the callers' interface by job; request ids in every refusal

Change: refusal, admit, entry, completion_api and service_api; jsonPost; problems carry the request id; a crash is explained with the content's hash. Tests of orders share one preamble. Conclusion: no behaviour changed but the added field and log pairs.

--- /dev/null
+++ b/include/apricotarch/app/service_api.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/**
+ * @file
+ * Calls of application services.
+ */
+
+#include "apricotarch/app/node.h"
+#include "apricotarch/transport/http_server.h"
+
+namespace apricotarch
+{
+
+/// Any method on `/v1/services/{service}/...`.
+[[nodiscard]] asio::awaitable<void> answerServiceCall(Node &node, const HttpRequest &request, HttpResponder &responder);
+
+} // namespace apricotarch
--- a/include/apricotarch/protocol/problem.h
+++ b/include/apricotarch/protocol/problem.h
@@ -25,6 +25,7 @@
     std::string step; ///< Where it arose.
     std::string peer; ///< With whom.
     std::optional<std::chrono::seconds> retryAfter;
+    std::string request = {}; ///< Id of the request; empty where it was not read that far.
 };
 
 /// Media type of a problem.
@@ -32,7 +33,7 @@
 
 /**
  * Encodes a problem.
- * @return a JSON object with `type`, `title`, `status`, `detail`, `reason`, `not_run`, `step`, `peer`
+ * @return a JSON object with `type`, `title`, `status`, `detail`, `reason`, `not_run`, `step`, `peer`, `request`
  */
 [[nodiscard]] std::string encodeProblem(const Problem &problem);
 
--- a/include/apricotarch/transport/http_message.h
+++ b/include/apricotarch/transport/http_message.h
@@ -70,6 +70,9 @@
     }
 };
 
+/// A POST with a JSON body.
+[[nodiscard]] HttpRequest jsonPost(std::string path, std::string body);
+
 /// A response with a JSON body.
 [[nodiscard]] HttpResponse jsonResponse(int status, std::string body);
 
--- /dev/null
+++ b/src/app/completion_api.cpp
@@ -0,0 +1,226 @@
+#include "apricotarch/app/completion_api.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "apricotarch/app/admit.h"
+#include "apricotarch/app/refusal.h"
+#include "apricotarch/base/hash.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr int MaxPriority = 9;
+
+/// Hash that binds a stream to its caller and content, so that nobody else can go on with it.
+std::string bindingOf(const CallerId &caller, const CompletionRequest &request)
+{
+    const std::string bound =
+        caller.value() + '\n' + request.service.value() + '\n' + std::to_string(request.maxOutput.value()) + '\n' + request.prompt;
+    return sha256Hex(bound).substr(0, 32);
+}
+
+bool isBoundTo(const std::string &stream, const std::string &binding)
+{
+    return stream.size() > binding.size() && stream.ends_with(binding);
+}
+
+/// Writes pieces to a caller as events; the head goes out with the first.
+class StreamSink final : public PieceSink
+{
+public:
+    StreamSink(Node &node, HttpResponder &responder, RequestId id, CompletionStyle style, TimePoint begun)
+        : m_node(node)
+        , m_responder(responder)
+        , m_id(std::move(id))
+        , m_style(style)
+        , m_begun(begun)
+    {
+    }
+
+    [[nodiscard]] asio::awaitable<Result<void>> take(const EnginePiece &piece, const StreamPosition &next) override
+    {
+        if (!m_started) {
+            m_started = true;
+            m_node.metrics().observe(LatencyKind::FirstToken, m_node.clock().now() - m_begun);
+            HttpHeaders headers;
+            headers.add("Content-Type", "text/event-stream");
+            headers.add("Cache-Control", "no-store");
+            headers.add("X-Request-Id", m_id.value());
+            const Result<void> begun = co_await m_responder.beginStream(200, headers);
+            if (!begun) {
+                co_return begun;
+            }
+        }
+        const std::string event = encodeCallerEvent(m_id, m_style, next, piece);
+        co_return co_await m_responder.write(event);
+    }
+
+    [[nodiscard]] asio::awaitable<void> finish()
+    {
+        (void)co_await m_responder.write(callerEndEvent());
+        (void)co_await m_responder.endStream();
+    }
+
+    [[nodiscard]] asio::awaitable<void> breakOff(Problem problem)
+    {
+        const std::string event = callerErrorEvent(encodeProblem(problem));
+        (void)co_await m_responder.write(event);
+        (void)co_await m_responder.endStream();
+    }
+
+    [[nodiscard]] bool started() const noexcept
+    {
+        return m_started;
+    }
+
+private:
+    Node &m_node;
+    HttpResponder &m_responder;
+    RequestId m_id;
+    CompletionStyle m_style;
+    TimePoint m_begun;
+    bool m_started = false;
+};
+
+/// Collects a whole answer.
+class WholeSink final : public PieceSink
+{
+public:
+    [[nodiscard]] asio::awaitable<Result<void>> take(const EnginePiece &piece, const StreamPosition & /*next*/) override
+    {
+        m_text += piece.text;
+        co_return Result<void>();
+    }
+
+    [[nodiscard]] const std::string &text() const noexcept
+    {
+        return m_text;
+    }
+
+private:
+    std::string m_text;
+};
+
+Problem problemOfOutcome(const CallOutcome &outcome, Duration left)
+{
+    Problem problem = refusal(outcome.reason, outcome.error.detail, outcome.error.step);
+    problem.notRun = outcome.notRun;
+    problem.peer = outcome.error.peer;
+    if (outcome.reason == "deadline_unreachable") {
+        problem.retryAfter = retryAfter(outcome.predicted, left);
+    }
+    return problem;
+}
+
+/// Checks a decoded completion against its service and makes the request that is run.
+tl::expected<LanguageRequest, Problem> languageRequest(
+    const HttpRequest &request, const CompletionRequest &completion, const Admitted &admitted, const RequestId &id)
+{
+    constexpr const char *Step = "request.check";
+    const ServiceSpec &service = *admitted.service;
+    if (service.kind != ServiceKind::Language) {
+        return tl::unexpected(
+            refusal("unknown_service", "'" + service.id.value() + "' is no language service; call it below /v1/services/.", Step));
+    }
+    if (estimateTokens(completion.prompt) > service.maxPrompt || completion.maxOutput > service.maxOutput) {
+        return tl::unexpected(refusal("prompt_too_long", "Prompt or max_tokens are longer than the service's questionnaire allows.", Step));
+    }
+    const std::string binding = bindingOf(admitted.caller, completion);
+    LanguageRequest run;
+    run.id = id;
+    run.service = service;
+    run.prompt = completion.prompt;
+    run.maxOutput = completion.maxOutput;
+    run.priority = static_cast<int>(std::clamp<std::int64_t>(headerNumber(request, "X-Priority").value_or(0), 0, MaxPriority));
+    run.deadline = admitted.deadline;
+    run.stream = uniqueId() + '-' + binding;
+    run.content = contentHash(service.id.value() + '\n' + completion.prompt);
+    const std::string_view lastEvent = request.headers.value("Last-Event-ID");
+    if (lastEvent.empty()) {
+        return run;
+    }
+    const Result<StreamPosition> position = decodePosition(lastEvent);
+    if (!position) {
+        return tl::unexpected(refusal("invalid_request", position.error().detail, position.error().step));
+    }
+    if (!isBoundTo(position->stream, binding)) {
+        return tl::unexpected(
+            refusal("foreign_stream", "Last-Event-ID belongs to another caller or another request; resend the same body.", Step));
+    }
+    run.resumeFrom = *position;
+    return run;
+}
+
+asio::awaitable<void> runStreamed(Node &node, HttpResponder &responder, LanguageRequest run, CompletionStyle style)
+{
+    const TimePoint begun = node.clock().now();
+    const TimePoint deadline = run.deadline;
+    const RequestId id = run.id;
+    StreamSink sink(node, responder, id, style, begun);
+    const CallOutcome outcome = co_await node.languageCalls().run(std::move(run), sink);
+    node.metrics().observe(LatencyKind::Total, node.clock().now() - begun);
+    if (outcome.answered) {
+        node.metrics().increment(CounterFamily::Answers, "answered");
+        co_await sink.finish();
+        co_return;
+    }
+    Problem problem = problemOfOutcome(outcome, deadline - node.clock().now());
+    if (!sink.started()) {
+        co_await sendRefusal(node, responder, std::move(problem), id);
+        co_return;
+    }
+    problem.request = id.value();
+    node.metrics().increment(CounterFamily::Answers, "broken_off_" + outcome.reason);
+    co_await sink.breakOff(std::move(problem));
+}
+
+asio::awaitable<void> runWhole(Node &node, HttpResponder &responder, LanguageRequest run, CompletionStyle style)
+{
+    const TimePoint begun = node.clock().now();
+    const RequestId id = run.id;
+    const TimePoint deadline = run.deadline;
+    WholeSink sink;
+    const CallOutcome outcome = co_await node.languageCalls().run(std::move(run), sink);
+    node.metrics().observe(LatencyKind::Total, node.clock().now() - begun);
+    if (!outcome.answered) {
+        co_await sendRefusal(node, responder, problemOfOutcome(outcome, deadline - node.clock().now()), id);
+        co_return;
+    }
+    node.metrics().increment(CounterFamily::Answers, "answered");
+    HttpResponse response = jsonResponse(200, encodeWholeAnswer(id, style, sink.text(), outcome.finishReason, outcome.tokens));
+    response.headers.add("X-Request-Id", id.value());
+    (void)co_await responder.respond(std::move(response));
+}
+
+} // namespace
+
+asio::awaitable<void> answerCompletion(Node &node, const HttpRequest &request, HttpResponder &responder, CompletionStyle style)
+{
+    const RequestId id = requestIdOf(request);
+    const Result<CompletionRequest> completion = decodeCompletionRequest(request.body, style);
+    if (!completion) {
+        co_await sendRefusal(node, responder, refusal("invalid_request", completion.error().detail, completion.error().step), id);
+        co_return;
+    }
+    const auto admitted = admit(node, request, completion->service);
+    if (!admitted) {
+        co_await sendRefusal(node, responder, admitted.error(), id);
+        co_return;
+    }
+    auto run = languageRequest(request, *completion, *admitted, id);
+    if (!run) {
+        co_await sendRefusal(node, responder, run.error(), id);
+        co_return;
+    }
+    if (completion->stream) {
+        co_await runStreamed(node, responder, std::move(*run), style);
+    } else {
+        co_await runWhole(node, responder, std::move(*run), style);
+    }
+}
+
+} // namespace apricotarch
--- a/src/app/http_api.cpp
+++ b/src/app/http_api.cpp
@@ -6,8 +6,11 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "apricotarch/app/caller_api.h"
+#include "apricotarch/app/completion_api.h"
+#include "apricotarch/app/entry.h"
 #include "apricotarch/app/operator_api.h"
+#include "apricotarch/app/refusal.h"
+#include "apricotarch/app/service_api.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/protocol/questionnaire.h"
 
--- a/src/app/operator_api.cpp
+++ b/src/app/operator_api.cpp
@@ -7,7 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <openssl/crypto.h>
 
-#include "apricotarch/app/caller_api.h"
+#include "apricotarch/app/admit.h"
 #include "apricotarch/state/configuration_codec.h"
 #include "apricotarch/state/row_codec.h"
 
--- a/src/coordination/language_call.cpp
+++ b/src/coordination/language_call.cpp
@@ -281,6 +281,10 @@
     const TimePoint now = m_use.clock.now();
     if (crashed) {
         m_use.crashes.crashed(replica.id, request.content, now);
+        explain(request,
+            "engine " + replica.id.value() + " crashed",
+            "content=" + std::to_string(request.content.value()),
+            m_use.crashes.isConvicted(request.content, now) ? "content convicted" : "content suspected");
     }
     m_use.fleet.fail(replica.id, now);
     progress.excluded.insert(replica.id);
--- a/src/protocol/problem.cpp
+++ b/src/protocol/problem.cpp
@@ -17,6 +17,7 @@
     object["not_run"] = problem.notRun;
     object["step"] = problem.step;
     object["peer"] = problem.peer;
+    object["request"] = problem.request;
     if (problem.retryAfter) {
         object["retry_after_s"] = problem.retryAfter->count();
     }
--- a/src/transport/engine_client.cpp
+++ b/src/transport/engine_client.cpp
@@ -27,16 +27,6 @@
     return request;
 }
 
-HttpRequest postJson(const char *path, std::string body)
-{
-    HttpRequest request;
-    request.method = "POST";
-    request.path = path;
-    request.headers.add("Content-Type", "application/json");
-    request.body = std::move(body);
-    return request;
-}
-
 Incarnation incarnationOf(const HttpResponse &head)
 {
     const std::string_view text = head.headers.value(IncarnationHeader);
@@ -130,7 +120,7 @@
         if (!m_connection->reusable() || m_connection->stale()) {
             co_return fail(ErrorId::ConnectionLost, "order.send", peer, "the connection ended before the order was sent");
         }
-        const auto response = co_await m_connection->exchange(postJson("/v1/orders", encodeEngineOrder(order)), m_timeout);
+        const auto response = co_await m_connection->exchange(jsonPost("/v1/orders", encodeEngineOrder(order)), m_timeout);
         if (!response) {
             co_return Failure(response.error());
         }
@@ -175,7 +165,7 @@
 
 asio::awaitable<Result<std::unique_ptr<EngineStream>>> HttpEngineStreams::open(ReplicaSpec replica, EngineRequest request, Duration timeout)
 {
-    co_return co_await start(std::move(replica), postJson("/v1/completions", encodeEngineRequest(request)), timeout);
+    co_return co_await start(std::move(replica), jsonPost("/v1/completions", encodeEngineRequest(request)), timeout);
 }
 
 asio::awaitable<Result<std::unique_ptr<EngineStream>>> HttpEngineStreams::resume(
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -47,6 +47,16 @@
     return {};
 }
 
+HttpRequest jsonPost(std::string path, std::string body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = std::move(path);
+    request.headers.add("Content-Type", "application/json");
+    request.body = std::move(body);
+    return request;
+}
+
 HttpResponse jsonResponse(int status, std::string body)
 {
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -19,16 +19,6 @@
 constexpr int Conflict = 409;
 constexpr int RateLimited = 429;
 
-HttpRequest post(const char *path, const json::object &body)
-{
-    HttpRequest request;
-    request.method = "POST";
-    request.path = path;
-    request.headers.add("Content-Type", "application/json");
-    request.body = json::serialize(body);
-    return request;
-}
-
 /// An answer that is not the one hoped for. A rate-limited request was certainly not run.
 Failure unavailable(const HttpResponse &response, const char *step, const Endpoint &peer)
 {
@@ -56,7 +46,7 @@
 {
     constexpr const char *Step = "table.read";
     const json::object body{{"table", key.table}, {"key", key.key}};
-    const auto response = co_await m_client.exchange(m_access.endpoint, post("/v1/rows/read", body), m_access.timeout);
+    const auto response = co_await m_client.exchange(m_access.endpoint, jsonPost("/v1/rows/read", json::serialize(body)), m_access.timeout);
     if (!response) {
         co_return unreachable(response.error(), Step);
     }
@@ -83,7 +73,7 @@
         body["guard"] =
             json::object{{"table", write.guard->key.table}, {"key", write.guard->key.key}, {"version", write.guard->version.value()}};
     }
-    const auto response = co_await m_client.exchange(m_access.endpoint, post("/v1/rows/write", body), m_access.timeout);
+    const auto response = co_await m_client.exchange(m_access.endpoint, jsonPost("/v1/rows/write", json::serialize(body)), m_access.timeout);
     if (!response) {
         co_return unreachable(response.error(), Step);
     }
--- a/tests/src/unit-order.cpp
+++ b/tests/src/unit-order.cpp
@@ -66,6 +66,20 @@
         }
     }
 
+    /// The first node sends the order for Third, which arrives late, and the second takes over.
+    void pausedInTheSend(Duration late)
+    {
+        bench.run(first.lease.step());
+        engine.course = [late] {
+            return SendCourse{late, true};
+        };
+        (void)bench.run(first.orders.step(replica, Third, true));
+        engine.course = [] {
+            return SendCourse();
+        };
+        takeOver(second);
+    }
+
     OrderRow row()
     {
         return decodeOrder(store.read({"order", "engine"})->text).value();
@@ -151,15 +165,7 @@
 BOOST_AUTO_TEST_CASE(finishes_the_open_order_as_it_stands_before_its_own)
 {
     OrderBench bench(true);
-    bench.bench.run(bench.first.lease.step());
-    bench.engine.course = [] {
-        return SendCourse{Duration(1h), true};
-    };
-    (void)bench.bench.run(bench.first.orders.step(bench.replica, Third, true));
-    bench.engine.course = [] {
-        return SendCourse();
-    };
-    bench.takeOver(bench.second);
+    bench.pausedInTheSend(1h);
     bench.rounds(bench.second, Fourth, 12);
     BOOST_REQUIRE(bench.engine.taken.size() >= 2U);
     BOOST_TEST((bench.engine.taken[0].order.target == Third));
@@ -169,15 +175,7 @@
 BOOST_AUTO_TEST_CASE(of_a_paused_sender_is_safe_at_an_engine_that_checks)
 {
     OrderBench bench(true);
-    bench.bench.run(bench.first.lease.step());
-    bench.engine.course = [] {
-        return SendCourse{Duration(60s), true};
-    };
-    (void)bench.bench.run(bench.first.orders.step(bench.replica, Third, true));
-    bench.engine.course = [] {
-        return SendCourse();
-    };
-    bench.takeOver(bench.second);
+    bench.pausedInTheSend(60s);
     bench.rounds(bench.second, Fourth, 12);
     BOOST_TEST(isDoneAt(bench.engine, Fourth));
     bench.bench.pass(120s);
@@ -188,15 +186,7 @@
 BOOST_AUTO_TEST_CASE(of_a_paused_sender_sends_no_other_order_to_an_engine_that_does_not_check)
 {
     OrderBench bench(false);
-    bench.bench.run(bench.first.lease.step());
-    bench.engine.course = [] {
-        return SendCourse{Duration(60s), true};
-    };
-    (void)bench.bench.run(bench.first.orders.step(bench.replica, Third, true));
-    bench.engine.course = [] {
-        return SendCourse();
-    };
-    bench.takeOver(bench.second);
+    bench.pausedInTheSend(60s);
     bench.rounds(bench.second, Fourth, 12);
     BOOST_TEST(isDoneAt(bench.engine, Third));
     const auto blocked = bench.bench.run(bench.second.orders.step(bench.replica, Fourth, true));
@@ -206,15 +196,7 @@
 BOOST_AUTO_TEST_CASE(goes_on_once_the_engine_has_restarted)
 {
     OrderBench bench(false);
-    bench.bench.run(bench.first.lease.step());
-    bench.engine.course = [] {
-        return SendCourse{Duration(1h), true};
-    };
-    (void)bench.bench.run(bench.first.orders.step(bench.replica, Third, true));
-    bench.engine.course = [] {
-        return SendCourse();
-    };
-    bench.takeOver(bench.second);
+    bench.pausedInTheSend(1h);
     bench.rounds(bench.second, Fourth, 6);
     bench.engine.restart();
     bench.rounds(bench.second, Fourth, 12);
@@ -224,15 +206,7 @@
 BOOST_AUTO_TEST_CASE(goes_on_once_the_senders_vm_has_ended)
 {
     OrderBench bench(false);
-    bench.bench.run(bench.first.lease.step());
-    bench.engine.course = [] {
-        return SendCourse{Duration(1h), true};
-    };
-    (void)bench.bench.run(bench.first.orders.step(bench.replica, Third, true));
-    bench.engine.course = [] {
-        return SendCourse();
-    };
-    bench.takeOver(bench.second);
+    bench.pausedInTheSend(1h);
     bench.second.ended = NodeId("first");
     bench.rounds(bench.second, Fourth, 12);
     BOOST_TEST(isDoneAt(bench.engine, Fourth));
