--- a/include/apricotarch/coordination/configuration_keeper.h
+++ b/include/apricotarch/coordination/configuration_keeper.h
@@ -118,7 +118,8 @@
     [[nodiscard]] asio::awaitable<Result<std::optional<CommittedConfiguration>>> readRow();
     [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> commit(
         CommittedConfiguration base, std::string body, Digest digest, bool newVersion);
-    [[nodiscard]] asio::awaitable<std::shared_ptr<const Offering>> offerToMembers(std::vector<Elector> electorate, ConfigurationOffer offer);
+    [[nodiscard]] asio::awaitable<std::shared_ptr<const Offering>> offerToMembers(
+        std::vector<Elector> electorate, ConfigurationOffer offer);
     [[nodiscard]] asio::awaitable<void> offerTo(std::shared_ptr<Offering> offering, MemberView member, ConfigurationOffer offer);
     [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> writeRow(const CommittedConfiguration &base, ConfigurationRow row);
     [[nodiscard]] asio::awaitable<void> withdraw(CommittedConfiguration base);
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -73,7 +73,8 @@
         body["guard"] =
             json::object{{"table", write.guard->key.table}, {"key", write.guard->key.key}, {"version", write.guard->version.value()}};
     }
-    const auto response = co_await m_client.exchange(m_access.endpoint, jsonPost("/v1/rows/write", json::serialize(body)), m_access.timeout);
+    const auto response =
+        co_await m_client.exchange(m_access.endpoint, jsonPost("/v1/rows/write", json::serialize(body)), m_access.timeout);
     if (!response) {
         co_return unreachable(response.error(), Step);
     }
