Mend the last lint finding

Cause: a widening cast after an addition in the load tool. Change: cast before adding. Conclusion: none.

--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -277,7 +277,7 @@
         for (int turn = 0; turn < m_settings.callerTries; ++turn) {
             HttpRequest asked = request(path.c_str(), "{\"slot\":" + std::to_string(number) + "}");
             asked.headers.add("Idempotency-Key", key);
-            const Endpoint node = nodeOf(static_cast<std::size_t>(number + turn));
+            const Endpoint node = nodeOf(static_cast<std::size_t>(number) + static_cast<std::size_t>(turn));
             const auto response = co_await m_client.exchange(node, std::move(asked), std::chrono::milliseconds(m_settings.deadlineMs));
             if (response && response->success()) {
                 ++m_tally.bookingsAnswered;
