Cancel a stream that is continued elsewhere; survive a handler that throws

Cause: an answer continued on another engine went on being generated where its connection broke; a handler that throws would have left the counts of requests and connections wrong for ever (found by reading). Change: cancelAfterWindow on every attempt that did not answer; HttpServer catches, logs and ends that connection only. Conclusion: both have a test.

--- a/src/coordination/language_call.cpp
+++ b/src/coordination/language_call.cpp
@@ -133,7 +133,7 @@
     }
     m_use.fleet.ended(replica.id, prompt, request.maxOutput, step == Step::Answered);
     m_use.crashes.ended(replica.id, request.content, step == Step::Answered, m_use.clock.now());
-    if (step == Step::Failed && progress.dispatched) {
+    if (step != Step::Answered && progress.dispatched) {
         asio::co_spawn(co_await asio::this_coro::executor, cancelAfterWindow(replica, progress.stream), asio::detached);
     }
     co_return step;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "apricotarch/base/log.h"
 #include "apricotarch/protocol/problem.h"
 
 namespace apricotarch
@@ -285,7 +286,14 @@
     BeastResponder responder(stream, peer, limits.writeTimeout, keepAlive);
     ++active;
     stream.expires_never();
-    co_await handler(request, responder);
+    try {
+        co_await handler(request, responder);
+    } catch (const std::exception &exception) {
+        LogEvent("http.handler_failed", LogEvent::Level::Error)
+            .field("path", request.path)
+            .field("detail", std::string_view(exception.what()));
+        responder.abort();
+    }
     --active;
     co_return responder.keepAlive() && !stopping;
 }
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -59,6 +59,11 @@
         return answer;
     }
 
+    [[nodiscard]] std::size_t active() const noexcept
+    {
+        return m_server.activeRequests();
+    }
+
     /// Runs a coroutine on a loop of its own.
     template<typename T>
     static T run(asio::awaitable<T> work)
@@ -92,6 +97,9 @@
             (void)co_await responder.endStream();
             co_return;
         }
+        if (request.path == "/throw") {
+            throw std::runtime_error("a fault in a handler");
+        }
         if (request.path == "/abort") {
             responder.abort();
             co_return;
@@ -199,6 +207,14 @@
     BOOST_TEST(status("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nslow") == "HTTP/1.1 408");
 }
 
+BOOST_AUTO_TEST_CASE(that_makes_a_handler_throw_ends_one_connection_and_no_more)
+{
+    ServerBench server;
+    BOOST_TEST(!ServerBench::run(exchange(server.endpoint, "/throw")).has_value());
+    BOOST_TEST(ServerBench::run(exchange(server.endpoint, "/x")).has_value());
+    BOOST_TEST(server.active() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(says_that_nothing_was_run)
 {
     ServerBench server;
--- a/tests/src/unit-language_call.cpp
+++ b/tests/src/unit-language_call.cpp
@@ -33,6 +33,7 @@
     std::map<ReplicaId, EngineScript> engines;
     std::map<std::string, EngineRequest> known;
     std::vector<ReplicaId> opened;
+    std::vector<std::string> cancelled;
     int crashes = 0;
 
     [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>> open(
@@ -40,8 +41,9 @@
     [[nodiscard]] asio::awaitable<Result<std::unique_ptr<EngineStream>>> resume(
         ReplicaSpec replica, std::string stream, std::int64_t offset, Duration timeout) override;
 
-    [[nodiscard]] asio::awaitable<void> cancel(ReplicaSpec /*replica*/, std::string /*stream*/, bool /*onlyIfDetached*/) override
+    [[nodiscard]] asio::awaitable<void> cancel(ReplicaSpec /*replica*/, std::string stream, bool /*onlyIfDetached*/) override
     {
+        cancelled.push_back(std::move(stream));
         co_return;
     }
 
@@ -290,6 +292,16 @@
     BOOST_TEST(bench.node.metrics.count(CounterFamily::Retries, "engine_crashed") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(that_was_continued_elsewhere_is_cancelled_where_it_broke)
+{
+    CallBench bench(2);
+    bench.engine(1).tokensBeforeLoss = 4;
+    Collector caller;
+    BOOST_TEST(bench.bench.run(bench.node.calls.run(bench.request("p"), caller)).answered);
+    bench.bench.pass(LanguageCallTimes().resumeWindow + 1s);
+    BOOST_TEST(bench.streams.cancelled.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(breaks_off_clearly_where_the_service_forbids_another_engine)
 {
     CallBench bench(2);
