Bound what the fleet remembers of dispatches, and keep it out of views

Cause: found by reading: only a load report took dispatches off ReplicaView::recent, and replicas of application services never report, so every booking and schedule view added an entry for ever, and every routing decision copied the whole list. Change: the list is the fleet's own, not part of the copies that views are, and ends after RecentBound (10 s); replicas() picks the service's views under the lock instead of copying the whole fleet first (select() serves it and all()). Conclusion: a language engine's silent report counts dispatches of the last 10 s only; it is a suspect long before that.

--- a/include/apricotarch/state/fleet.h
+++ b/include/apricotarch/state/fleet.h
@@ -55,6 +55,9 @@
 /// Longest time that a report is taken to be behind the moment at which it was asked for.
 inline constexpr std::chrono::milliseconds ReportLag{150};
 
+/// Longest time that a dispatch counts on top of a report. Replicas of application services send none.
+inline constexpr std::chrono::seconds RecentBound{10};
+
 /// Health of a replica as one node sees it.
 enum class ReplicaHealth {
     Unknown, ///< No report yet.
@@ -71,8 +74,7 @@
     ReplicaHealth health = ReplicaHealth::Unknown;
     std::optional<LoadReport> report;
     TimePoint reportedAt;
-    std::deque<Dispatch> recent; ///< Dispatched by this node after the report's moment, oldest first.
-    Outstanding sinceReport; ///< Sum of the recent ones.
+    Outstanding sinceReport; ///< Dispatched by this node after the report's moment, and within RecentBound.
     Outstanding own; ///< All that this node has outstanding there.
     Outstanding peers; ///< What other nodes say they have outstanding there.
     bool vmLeaving = false; ///< The VM list shows its VM as leaving or gone.
@@ -123,10 +125,15 @@
     [[nodiscard]] std::vector<ReplicaView> all() const;
 
 private:
+    struct Entry
+    {
+        ReplicaView view;
+        std::deque<Dispatch> recent; ///< What sinceReport sums up, oldest first; not part of the copies that views are.
+    };
     struct Shard
     {
         mutable std::mutex mutex;
-        std::map<ReplicaId, ReplicaView> replicas;
+        std::map<ReplicaId, Entry> replicas;
     };
 
     static constexpr std::size_t ShardCount = 16;
@@ -134,6 +141,12 @@
     Shard &shardOf(const ReplicaId &id);
     const Shard &shardOf(const ReplicaId &id) const;
 
+    /// Takes off the dispatches up to a moment.
+    static void forgetDispatches(Entry &entry, TimePoint upTo);
+
+    template<typename Keep>
+    std::vector<ReplicaView> select(Keep keep) const;
+
     template<typename Change>
     void change(const ReplicaId &id, Change apply);
 
--- a/src/state/fleet.cpp
+++ b/src/state/fleet.cpp
@@ -26,15 +26,6 @@
     sum.output = std::max(Tokens(0), sum.output - output);
 }
 
-/// Takes off what a report of a moment has seen.
-void forgetSeen(ReplicaView &view, TimePoint reportedMoment)
-{
-    while (!view.recent.empty() && view.recent.front().at <= reportedMoment) {
-        subtract(view.sinceReport, view.recent.front().prompt, view.recent.front().output);
-        view.recent.pop_front();
-    }
-}
-
 } // namespace
 
 Fleet::Shard &Fleet::shardOf(const ReplicaId &id)
@@ -47,6 +38,14 @@
     return m_shards.at(std::hash<ReplicaId>()(id) % ShardCount);
 }
 
+void Fleet::forgetDispatches(Entry &entry, TimePoint upTo)
+{
+    while (!entry.recent.empty() && entry.recent.front().at <= upTo) {
+        subtract(entry.view.sinceReport, entry.recent.front().prompt, entry.recent.front().output);
+        entry.recent.pop_front();
+    }
+}
+
 template<typename Change>
 void Fleet::change(const ReplicaId &id, Change apply)
 {
@@ -66,7 +65,7 @@
             kept.insert(spec.id);
             Shard &shard = shardOf(spec.id);
             const std::lock_guard lock(shard.mutex);
-            ReplicaView &view = shard.replicas[spec.id];
+            ReplicaView &view = shard.replicas[spec.id].view;
             view.spec = spec;
             view.service = service.id;
         }
@@ -81,10 +80,11 @@
 
 void Fleet::report(const ReplicaId &id, const LoadReport &report, TimePoint askedAt)
 {
-    change(id, [&](ReplicaView &view) {
+    change(id, [&](Entry &entry) {
+        ReplicaView &view = entry.view;
         view.report = report;
         view.reportedAt = askedAt;
-        forgetSeen(view, askedAt - ReportLag);
+        forgetDispatches(entry, askedAt - ReportLag);
         view.health = report.leaving ? ReplicaHealth::Leaving : ReplicaHealth::Up;
         view.failures = 0;
     });
@@ -92,7 +92,8 @@
 
 void Fleet::fail(const ReplicaId &id, TimePoint now)
 {
-    change(id, [now](ReplicaView &view) {
+    change(id, [now](Entry &entry) {
+        ReplicaView &view = entry.view;
         view.suspectUntil = now + FirstPause * (1 << std::min(view.failures, MaxPauseDoublings));
         ++view.failures;
         view.health = ReplicaHealth::Suspect;
@@ -101,30 +102,34 @@
 
 void Fleet::setVmLeaving(const ReplicaId &id, bool leaving)
 {
-    change(id, [leaving](ReplicaView &view) {
+    change(id, [leaving](Entry &entry) {
+        ReplicaView &view = entry.view;
         view.vmLeaving = leaving;
     });
 }
 
 void Fleet::setPeers(const ReplicaId &id, const Outstanding &outstanding)
 {
-    change(id, [&outstanding](ReplicaView &view) {
+    change(id, [&outstanding](Entry &entry) {
+        ReplicaView &view = entry.view;
         view.peers = outstanding;
     });
 }
 
 void Fleet::dispatched(const ReplicaId &id, Tokens prompt, Tokens output, TimePoint now)
 {
-    change(id, [&](ReplicaView &view) {
-        add(view.own, prompt, output);
-        add(view.sinceReport, prompt, output);
-        view.recent.push_back({now, prompt, output});
+    change(id, [&](Entry &entry) {
+        forgetDispatches(entry, now - RecentBound);
+        add(entry.view.own, prompt, output);
+        add(entry.view.sinceReport, prompt, output);
+        entry.recent.push_back({now, prompt, output});
     });
 }
 
 void Fleet::ended(const ReplicaId &id, Tokens prompt, Tokens output, bool answered)
 {
-    change(id, [&](ReplicaView &view) {
+    change(id, [&](Entry &entry) {
+        ReplicaView &view = entry.view;
         subtract(view.own, prompt, output);
         if (answered) {
             view.failures = 0;
@@ -132,17 +137,28 @@
     });
 }
 
-std::vector<ReplicaView> Fleet::replicas(const ServiceId &service) const
+template<typename Keep>
+std::vector<ReplicaView> Fleet::select(Keep keep) const
 {
     std::vector<ReplicaView> found;
-    for (const ReplicaView &view : all()) {
-        if (view.service == service) {
-            found.push_back(view);
+    for (const Shard &shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto &[id, entry] : shard.replicas) {
+            if (keep(entry.view)) {
+                found.push_back(entry.view);
+            }
         }
     }
     return found;
 }
 
+std::vector<ReplicaView> Fleet::replicas(const ServiceId &service) const
+{
+    return select([&service](const ReplicaView &view) {
+        return view.service == service;
+    });
+}
+
 std::optional<ReplicaView> Fleet::replica(const ReplicaId &id) const
 {
     const Shard &shard = shardOf(id);
@@ -151,19 +167,14 @@
     if (found == shard.replicas.end()) {
         return std::nullopt;
     }
-    return found->second;
+    return found->second.view;
 }
 
 std::vector<ReplicaView> Fleet::all() const
 {
-    std::vector<ReplicaView> found;
-    for (const Shard &shard : m_shards) {
-        const std::lock_guard lock(shard.mutex);
-        for (const auto &[id, view] : shard.replicas) {
-            found.push_back(view);
-        }
-    }
-    return found;
+    return select([](const ReplicaView &) {
+        return true;
+    });
 }
 
 } // namespace apricotarch
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -129,6 +129,24 @@
     BOOST_TEST(fleet.replica(ReplicaId("e"))->sinceReport.requests == 0);
 }
 
+BOOST_AUTO_TEST_CASE(forgets_dispatches_to_a_replica_that_never_reports)
+{
+    Fleet fleet;
+    Configuration configuration;
+    ServiceSpec service;
+    service.id = ServiceId("visits");
+    service.kind = ServiceKind::Application;
+    service.replicas = {{ReplicaId("visits-1"), {"127.0.0.1", 1}, ZoneId("a"), false}};
+    configuration.services = {service};
+    fleet.assign(configuration);
+    for (int second = 0; second < 100; ++second) {
+        fleet.dispatched(ReplicaId("visits-1"), Tokens(), Tokens(), Now + second * 1s);
+        fleet.ended(ReplicaId("visits-1"), Tokens(), Tokens(), true);
+    }
+    BOOST_TEST(fleet.replica(ReplicaId("visits-1"))->sinceReport.requests == RecentBound / 1s);
+    BOOST_TEST(fleet.replica(ReplicaId("visits-1"))->own.requests == 0);
+}
+
 BOOST_AUTO_TEST_CASE(waits_for_a_place_in_a_full_batch)
 {
     ReplicaView view = engine("e");
