Start and stop programs by one piece of shell for demo and bench

Cause: scripts/demo.sh and scripts/bench.sh held the same start and stop code. Change: scripts/common.sh, sourced by both; the demo's checks are as they were. Measured: demo before and after: every check holds; SCENARIO=steady runs to its end as before. Conclusion: one place to mend.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,29 +3,9 @@
 # Prints one key=value on a line; the load tool judges the answers.
 set -u
 cd "$(dirname "$0")/.."
-build=${BUILD_DIR:-build}
+source scripts/common.sh
 scenario=${SCENARIO:-steady}
 seed=${SEED:-1}
-work=$(mktemp -d)
-declare -A pids
-
-start() { # name, command...
-    local name=$1
-    shift
-    "$@" >"$work/$name.log" 2>&1 &
-    pids[$name]=$!
-    disown
-}
-
-stop_all() {
-    for name in "${!pids[@]}"; do
-        kill "${pids[$name]}" 2>/dev/null
-    done
-    for name in "${!pids[@]}"; do
-        while kill -0 "${pids[$name]}" 2>/dev/null; do sleep 0.05; done
-    done
-    pids=()
-}
 trap 'stop_all; rm -rf "$work"' EXIT
 
 control() { curl -s -d "$1" http://127.0.0.1:19000/control >/dev/null; }
