--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -86,3 +86,58 @@
   2: required string body
   3: optional Committed committed
 }
+
+/// Work that one front node has outstanding at one backend server.
+struct ServerLoad {
+  1: required string replica
+  2: required i32 requests
+  /// Prompt tokens that are still to be read there.
+  3: required i64 promptTokens
+}
+
+/// A prompt that was sent to an engine since the sender's last beat.
+struct PromptUse {
+  1: required string replica
+  2: required list<i64> partIds
+  3: required list<i32> partTokens
+}
+
+/// What front nodes tell each other; one UDP datagram.
+struct FrontBeat {
+  1: required string node
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: required string zone
+  5: required string callerAddress
+  6: required string peerAddress
+  /// Whether the sender takes new callers.
+  7: required bool ready
+  8: required bool leaving
+  /// Versions of the rows that the sender has read last.
+  9: required i64 planVersion
+  10: required i64 serversVersion
+  11: required list<ServerLoad> loads
+  12: required list<PromptUse> uses
+  13: required list<CrashRecord> crashRecords
+  /// How far the sender is behind its work, in microseconds.
+  14: required i64 lagMicros
+}
+
+/// Asks a front node for what it knows of the platform's tables.
+struct FleetSnapshotRequest {
+  1: required string sender
+}
+
+struct StoredRow {
+  1: required string key
+  2: required string text
+}
+
+/// The tables as a front node has read them last.
+struct FleetSnapshot {
+  1: required i64 planVersion
+  2: required string plan
+  3: required i64 serversVersion
+  4: required list<StoredRow> servers
+  5: required list<StoredRow> nodes
+}
--- /dev/null
+++ b/include/apricotarch/app/front_state.h
@@ -0,0 +1,66 @@
+#pragma once
+
+/**
+ * @file
+ * What the parts of a front node share.
+ */
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "apricotarch/app/front_settings.h"
+#include "apricotarch/coordination/crash_ledger.h"
+#include "apricotarch/state/metrics.h"
+#include "apricotarch/state/routing_plan.h"
+#include "apricotarch/transport/backend_channel.h"
+#include "apricotarch/transport/backend_dialect.h"
+
+namespace apricotarch
+{
+
+/// The state of one front node. Entry VMs have one core, so one event loop owns all of it and no lock is needed.
+struct FrontState
+{
+    FrontState(asio::any_io_executor loop, FrontSettings loaded, Clock &time, const BackendDialect &translator, std::uint64_t seed)
+        : executor(std::move(loop))
+        , settings(std::move(loaded))
+        , clock(time)
+        , dialect(translator)
+        , peers(settings.node, PeerTimes())
+        , budget(settings.retries)
+        , crashes(CrashTimes())
+        , placer(settings.engineSpeed, seed)
+        , pool(PoolLimits())
+        , random(seed + 1)
+    {
+    }
+
+    /// Whether new callers may come.
+    [[nodiscard]] bool ready() const noexcept
+    {
+        return !leaving && plan->version() > 0 && serversKnown;
+    }
+
+    asio::any_io_executor executor;
+    FrontSettings settings;
+    Clock &clock;
+    const BackendDialect &dialect;
+    Metrics metrics;
+    std::shared_ptr<const RoutingPlan> plan = std::make_shared<RoutingPlan>();
+    bool serversKnown = false; ///< Whether the servers' table has been read once.
+    BackendTable backends;
+    FrontPeers peers;
+    SharedRetryBudget budget;
+    CrashLedger crashes;
+    Placer placer;
+    BackendPool pool;
+    std::vector<PromptUse> uses; ///< Prompts sent since the last beat.
+    std::mt19937_64 random; ///< For jitter.
+    std::size_t activeRequests = 0;
+    std::size_t bufferedBytes = 0; ///< Of requests' bodies.
+    bool leaving = false; ///< Whether a shutdown has begun.
+};
+
+} // namespace apricotarch
--- a/include/apricotarch/base/error.h
+++ b/include/apricotarch/base/error.h
@@ -35,6 +35,10 @@
     NotFound = 401, ///< No such row, object, replica or service.
     NotReady = 402, ///< The node has no configuration yet.
     StoreUnavailable = 403, ///< The platform's store does not answer.
+    RateLimited = 404, ///< The platform's store takes no more calls for now; nothing was done.
+    HistoryDropped = 405, ///< The platform's store no longer has the changes asked for.
+    StoreFull = 406, ///< The platform's store has no room for an object.
+    NotAllowed = 407, ///< The platform's store does not let this system write there.
     InvalidSettings = 501, ///< The settings file has faults.
     InvalidQuestionnaire = 502, ///< The questionnaire has faults.
 };
--- a/include/apricotarch/base/log.h
+++ b/include/apricotarch/base/log.h
@@ -6,6 +6,7 @@
  */
 
 #include <concepts>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -75,9 +76,19 @@
 };
 
 /**
- * Starts logging to standard error.
+ * Starts logging to standard output.
  * @param program name of the program, as in argv[0]; must outlive the process
  */
 void startLogging(const char *program);
 
+/**
+ * Gathers lines and bounds them; a reader that is slow or gone never holds the process up. From then on flushLogs() has to be
+ * called from time to time.
+ * @param linesPerSecond more informational lines than this are left out and counted; warnings and errors never are
+ */
+void limitLogging(std::size_t linesPerSecond);
+
+/// Writes what has been gathered, as far as that is possible without waiting.
+void flushLogs();
+
 } // namespace apricotarch
--- /dev/null
+++ b/include/apricotarch/coordination/front_peers.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/**
+ * @file
+ * Which front nodes are there, from their beats.
+ */
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "apricotarch/base/clock.h"
+#include "apricotarch/state/front_beat.h"
+
+namespace apricotarch
+{
+
+/// When a silent node is taken to be gone.
+struct PeerTimes
+{
+    Duration listed = std::chrono::milliseconds(1500); ///< A node not heard for this long is not given to callers.
+    Duration counted = std::chrono::seconds(3); ///< ... no longer counts as sending work.
+    Duration forgotten = std::chrono::seconds(30); ///< ... is not sent beats any more.
+};
+
+/// One other node.
+struct FrontPeer
+{
+    Endpoint address; ///< For beats.
+    FrontBeat beat; ///< The latest one; empty before the first.
+    std::optional<TimePoint> heardAt;
+    TimePoint knownSince;
+};
+
+/// An address that callers may be given.
+struct CallerAddress
+{
+    Endpoint address;
+    ZoneId zone;
+};
+
+/// The other front nodes. Used on one event loop.
+class FrontPeers
+{
+public:
+    FrontPeers(NodeId self, PeerTimes times);
+
+    /// Notes an address at which a node may be; its first beat names it.
+    void introduce(const Endpoint &peerAddress, TimePoint now);
+
+    /// Takes a beat over. @return whether it is new: not repeated, older than the last or this node's own
+    bool heard(const FrontBeat &beat, TimePoint now);
+
+    /// Nodes that may be given to callers.
+    [[nodiscard]] std::vector<CallerAddress> callerAddresses(TimePoint now) const;
+
+    /// Nodes that count when shares of a common budget are worked out, this one included.
+    [[nodiscard]] std::size_t count(TimePoint now) const;
+
+    /// Where beats go.
+    [[nodiscard]] std::vector<Endpoint> beatAddresses(TimePoint now) const;
+
+    /// Work at each backend server that other nodes told of and that still counts.
+    [[nodiscard]] std::map<ReplicaId, BackendLoad> othersLoad(TimePoint now) const;
+
+    /// A peer that has read a newer configuration or servers' table, if any. @param plan, servers as this node has read them
+    [[nodiscard]] std::optional<Endpoint> ahead(RowVersion plan, RowVersion servers, TimePoint now) const;
+
+    /// Forgets nodes that have been silent for long.
+    void forgetSilent(TimePoint now);
+
+private:
+    [[nodiscard]] bool within(const FrontPeer &peer, Duration time, TimePoint now) const;
+
+    NodeId m_self;
+    PeerTimes m_times;
+    std::map<Endpoint, FrontPeer> m_peers;
+};
+
+} // namespace apricotarch
--- /dev/null
+++ b/include/apricotarch/coordination/placement.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/**
+ * @file
+ * Which backend server gets a request. Works on views only; sends nothing.
+ */
+
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "apricotarch/base/clock.h"
+#include "apricotarch/base/ids.h"
+#include "apricotarch/state/backend.h"
+#include "apricotarch/state/routing_plan.h"
+
+namespace apricotarch
+{
+
+/// How fast engines are. The figures come from the settings.
+struct EngineSpeed
+{
+    double prefillTokensPerMs = 50; ///< Of an engine at the prefill stage.
+    double decodePrefillShare = 0.5; ///< Of that, what an engine at the decode stage reaches.
+    double prefillChunk = 2048; ///< Tokens read between two steps at the prefill stage, and a quarter at the decode stage.
+    double stepMs = 6; ///< One step of a batch.
+    double fetchSetupMs = 5; ///< Before KV memory flows from one engine to another.
+    double splitPenaltyMs = 60; ///< How much earlier a first event must be for a move of KV memory to be worth its price.
+    double cacheShare = 0.7; ///< Part of an engine's KV memory that is taken to hold cached parts.
+};
+
+/// What is to be placed.
+struct PlacementRequest
+{
+    std::vector<PromptPart> parts;
+    std::int64_t promptTokens = 0;
+    ZoneId zone; ///< Of this node.
+    std::set<ReplicaId> tried; ///< Servers that had it already.
+};
+
+/// Where a request goes.
+struct Placement
+{
+    BackendPointer run; ///< Null where no server can take it.
+    BackendPointer prefill; ///< Reads the prompt first; null where `run` does.
+    std::int64_t tokensToRead = 0; ///< At the server that reads the prompt.
+    double predictedFirstMs = 0; ///< Until the first event.
+    std::size_t candidates = 0;
+    std::size_t idle = 0; ///< Candidates with less than half of their slots in use.
+};
+
+/// Chooses backend servers. Used on one event loop.
+class Placer
+{
+public:
+    /// @param seed for ties
+    Placer(EngineSpeed speed, std::uint64_t seed);
+
+    /// A server of a plain service: the least loaded one, near ones first among equals.
+    [[nodiscard]] Placement placePlain(const std::vector<BackendPointer> &servers, const PlacementRequest &request, TimePoint now);
+
+    /**
+     * Engines for a prompt. Each prompt has a fixed order of engines by the hash of its shared parts, so that all nodes send
+     * it to the same few without asking each other; load moves it on to the next.
+     */
+    [[nodiscard]] Placement placePrompt(
+        const std::vector<BackendPointer> &engines, const PlacementRequest &request, const EngineSpec &spec, TimePoint now);
+
+    /// Milliseconds until an engine would have read @p tokens more.
+    [[nodiscard]] double readMs(const Backend &engine, std::int64_t tokens) const;
+
+private:
+    struct Candidate
+    {
+        BackendPointer engine;
+        std::int64_t toRead = 0;
+        double firstMs = 0;
+        double cost = 0; ///< What is compared.
+    };
+
+    [[nodiscard]] Candidate judge(const BackendPointer &engine, const PlacementRequest &request, const EngineSpec &spec) const;
+    [[nodiscard]] double slotWaitMs(const Backend &engine, const EngineSpec &spec) const;
+
+    EngineSpeed m_speed;
+    std::mt19937_64 m_random;
+};
+
+/// Servers that are not avoided and have not had the request, or else those that have not had it.
+[[nodiscard]] std::vector<BackendPointer> preferred(const std::vector<BackendPointer> &servers, const std::set<ReplicaId> &tried, TimePoint now);
+
+} // namespace apricotarch
--- /dev/null
+++ b/include/apricotarch/protocol/front_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/**
+ * @file
+ * Messages between front nodes as Thrift bytes.
+ */
+
+#include <string>
+#include <string_view>
+
+#include "apricotarch/base/error.h"
+#include "apricotarch/state/front_beat.h"
+
+namespace apricotarch
+{
+
+[[nodiscard]] std::string encodeFrontBeat(const FrontBeat &beat);
+/// @return the beat; MalformedMessage or InvalidField
+[[nodiscard]] Result<FrontBeat> decodeFrontBeat(std::string_view bytes, const std::string &peer);
+
+[[nodiscard]] std::string encodeFleetSnapshot(const FleetSnapshot &snapshot);
+/// @return the snapshot, or MalformedMessage
+[[nodiscard]] Result<FleetSnapshot> decodeFleetSnapshot(std::string_view bytes, const std::string &peer);
+
+} // namespace apricotarch
--- a/include/apricotarch/protocol/yaml_map.h
+++ b/include/apricotarch/protocol/yaml_map.h
@@ -72,6 +72,9 @@
     /// A whole number, or @p fallback where the key is missing.
     [[nodiscard]] std::int64_t numberOr(const std::string &key, NumberRange range, std::int64_t fallback);
 
+    /// A number that is not negative, or @p fallback where the key is missing or has no value.
+    [[nodiscard]] double realOr(const std::string &key, double fallback);
+
     /// A flag, or @p fallback where the key is missing.
     [[nodiscard]] bool flagOr(const std::string &key, bool fallback);
 
--- /dev/null
+++ b/include/apricotarch/state/front_beat.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/**
+ * @file
+ * What front nodes tell each other, and what one gives another that cannot reach the store.
+ */
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "apricotarch/base/endpoint.h"
+#include "apricotarch/base/ids.h"
+#include "apricotarch/state/backend.h"
+#include "apricotarch/state/heartbeat.h"
+
+namespace apricotarch
+{
+
+/// Work that the sender has outstanding at one backend server.
+struct ServerLoad
+{
+    ReplicaId replica;
+    BackendLoad load;
+};
+
+/// A prompt that the sender has sent to an engine since its last beat.
+struct PromptUse
+{
+    ReplicaId replica;
+    std::vector<PromptPart> prompt;
+};
+
+/// One beat, the same for every receiver.
+struct FrontBeat
+{
+    NodeId node;
+    Incarnation incarnation;
+    std::int64_t sequence = 0; ///< Counts the beats of one incarnation.
+    ZoneId zone;
+    Endpoint callerAddress;
+    Endpoint peerAddress;
+    bool ready = false; ///< Takes new callers.
+    bool leaving = false; ///< Shuts down.
+    RowVersion planVersion; ///< Row of the configuration that the sender has in force.
+    RowVersion serversVersion; ///< Up to where the sender has read the servers' table.
+    std::vector<ServerLoad> loads;
+    std::vector<PromptUse> uses;
+    std::vector<CrashRecord> crashRecords;
+    std::chrono::microseconds lag{0}; ///< How late the sender's timers fire.
+};
+
+/// A row of one of the platform's tables, in the platform's format.
+struct StoredRow
+{
+    std::string key;
+    std::string text;
+    RowVersion version; ///< 0 where a peer relayed it.
+    bool removed = false;
+};
+
+/// The platform's tables as a node has read them last.
+struct FleetSnapshot
+{
+    RowVersion planVersion; ///< 0 where no configuration is known.
+    std::string plan;
+    RowVersion serversVersion;
+    std::vector<StoredRow> servers;
+    std::vector<StoredRow> nodes;
+};
+
+} // namespace apricotarch
--- a/include/apricotarch/transport/peer_link.h
+++ b/include/apricotarch/transport/peer_link.h
@@ -6,14 +6,12 @@
  */
 
 #include <functional>
-#include <memory>
 
 #include "apricotarch/base/clock.h"
 #include "apricotarch/coordination/peers.h"
 #include "apricotarch/protocol/peer_codec.h"
 #include "apricotarch/state/metrics.h"
-#include "apricotarch/transport/peer_seal.h"
-#include "apricotarch/transport/workers.h"
+#include "apricotarch/transport/sealed_link.h"
 
 namespace apricotarch
 {
@@ -34,7 +32,7 @@
     PeerTransport(Workers &workers, const PeerSeal &seal, Metrics &metrics, NodeId self);
     PeerTransport(const PeerTransport &) = delete;
     PeerTransport &operator=(const PeerTransport &) = delete;
-    ~PeerTransport() override;
+    ~PeerTransport() override = default;
 
     // ---- receiving ----
 
@@ -54,8 +52,11 @@
     [[nodiscard]] asio::awaitable<Result<void>> offer(Endpoint peer, ConfigurationOffer offer) override;
 
 private:
-    struct Impl;
-    std::shared_ptr<Impl> m_impl;
+    [[nodiscard]] asio::awaitable<Result<PeerReply>> ask(Endpoint peer, PeerRequest request);
+
+    SealedLink m_link;
+    Metrics &m_metrics;
+    NodeId m_self;
 };
 
 } // namespace apricotarch
--- a/src/app/cli.cpp
+++ b/src/app/cli.cpp
@@ -9,6 +9,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "apricotarch/app/front.h"
 #include "apricotarch/app/operator_client.h"
 #include "apricotarch/app/serve.h"
 #include "apricotarch/base/hash.h"
@@ -26,6 +27,7 @@
     OperatorAccess access;
     std::string output = "text";
     std::string settings = "node.yaml";
+    std::string frontSettings;
     std::string file;
     long base = 0;
     std::string kind;
@@ -136,6 +138,19 @@
     });
 }
 
+void addFront(CLI::App &app, Arguments &arguments, Command &chosen)
+{
+    CLI::App *command = app.add_subcommand("front", "Run a front node, which forwards callers' requests to the platform's backend servers.");
+    command->add_option("--settings", arguments.frontSettings, "settings file; the platform's where left out");
+    CLI::App *check = command->add_subcommand("check", "Report every fault of a front node's settings.");
+    check->add_option("file", arguments.frontSettings, "settings file")->required();
+    command->callback([&arguments, &chosen, check] {
+        chosen = [&arguments, onlyCheck = check->parsed()] {
+            return onlyCheck ? checkFrontSettings(arguments.frontSettings) : runFront(arguments.frontSettings);
+        };
+    });
+}
+
 void addExplain(CLI::App &app, Arguments &arguments, Command &chosen)
 {
     CLI::App *command = app.add_subcommand("explain", "Tell what was seen, weighed and chosen.");
@@ -193,6 +208,7 @@
     app.footer("Exit codes: 0 done, 1 failed, 2 faulty input, 3 node unreachable, 4 outcome unknown.");
     app.require_subcommand(1);
     addServe(app, arguments, chosen);
+    addFront(app, arguments, chosen);
     addQuestionnaire(app, arguments, chosen);
     addSimple(app, arguments, chosen, "status", "Show a node's view of the system.", "GET", "/v1/operator/status");
     addSimple(app, arguments, chosen, "drain", "Shut a node down gracefully.", "POST", "/v1/operator/drain");
--- /dev/null
+++ b/src/app/front_settings.cpp
@@ -0,0 +1,70 @@
+#include "apricotarch/app/front_settings.h"
+
+#include <algorithm>
+
+#include "apricotarch/app/settings_reader.h"
+#include "apricotarch/protocol/yaml_map.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr NumberRange LinesPerSecond{1, 100'000};
+
+Duration seconds(double count)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
+}
+
+void readBounds(YamlMap &root, FrontSettings &settings)
+{
+    settings.retries.ratio = root.realOr("retry_ratio", settings.retries.ratio);
+    settings.retries.slack = root.realOr("retry_slack", settings.retries.slack);
+    settings.retries.window = seconds(root.realOr("retry_window_s", 10));
+    settings.grace = seconds(root.realOr("grace_s", 8));
+    settings.directoryTtl = std::chrono::milliseconds(static_cast<std::int64_t>(1000 * root.realOr("directory_ttl_s", 1)));
+    settings.memoryMegabytes = static_cast<std::size_t>(root.realOr("memory_megabytes", 256));
+    settings.logLinesPerSecond = static_cast<std::size_t>(root.numberOr("log_lines_per_second", LinesPerSecond, 100));
+}
+
+void readEngines(YamlMap &root, FrontSettings &settings)
+{
+    EngineSpeed &speed = settings.engineSpeed;
+    speed.prefillTokensPerMs = std::max(1.0, root.realOr("prefill_tokens_per_ms", speed.prefillTokensPerMs));
+    speed.prefillChunk = std::max(1.0, root.realOr("prefill_chunk_tokens", speed.prefillChunk));
+}
+
+} // namespace
+
+tl::expected<FrontSettings, Faults> parseFrontSettings(const std::string &text)
+{
+    Faults faults;
+    std::optional<YamlMap> root = parseYamlMap(text, faults);
+    if (!root) {
+        return tl::unexpected(faults);
+    }
+    FrontSettings settings;
+    settings.node = NodeId(root->text("node"));
+    settings.zone = ZoneId(root->text("zone"));
+    settings.callerAddress = readEndpoint(*root, "caller_address");
+    settings.readyAddress = readEndpoint(*root, "ready_address");
+    settings.directoryAddress = readEndpoint(*root, "directory_address");
+    settings.peerAddress = readEndpoint(*root, "peer_address");
+    settings.metricsAddress = readEndpoint(*root, "metrics_address");
+    settings.storeAddress = readEndpoint(*root, "store_address");
+    settings.peerKey = readSecret(*root, "peer_key");
+    if (root->has("seeds")) {
+        settings.seeds = root->texts("seeds");
+    }
+    readBounds(*root, settings);
+    readEngines(*root, settings);
+    root->refuseUnknown();
+    if (!faults.empty()) {
+        return tl::unexpected(faults);
+    }
+    return settings;
+}
+
+} // namespace apricotarch
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "apricotarch/app/settings_reader.h"
 #include "apricotarch/coordination/routing.h"
 #include "apricotarch/protocol/yaml_map.h"
 
@@ -17,26 +18,6 @@
 constexpr NumberRange BodyBytes{1024, 64 * 1024 * 1024};
 constexpr NumberRange ShutdownSeconds{1, 3600};
 constexpr NumberRange EntrySeconds{1, 600};
-constexpr std::size_t ShortestSecret = 16;
-
-Endpoint readEndpoint(YamlMap &map, const std::string &key)
-{
-    const std::string text = map.text(key);
-    const Result<Endpoint> endpoint = parseEndpoint(text);
-    if (!endpoint && !text.empty()) {
-        map.fault(key, "must be IP:PORT, for example 10.0.0.4:8080");
-    }
-    return endpoint.value_or(Endpoint());
-}
-
-std::string readSecret(YamlMap &map, const std::string &key)
-{
-    std::string secret = map.text(key);
-    if (!secret.empty() && secret.size() < ShortestSecret) {
-        map.fault(key, "must have at least " + std::to_string(ShortestSecret) + " characters");
-    }
-    return secret;
-}
 
 void readPeers(YamlMap &root, Settings &settings)
 {
--- /dev/null
+++ b/src/app/settings_reader.cpp
@@ -0,0 +1,32 @@
+#include "apricotarch/app/settings_reader.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+constexpr std::size_t ShortestSecret = 16;
+
+} // namespace
+
+Endpoint readEndpoint(YamlMap &map, const std::string &key)
+{
+    const std::string text = map.text(key);
+    const Result<Endpoint> endpoint = parseEndpoint(text);
+    if (!endpoint && !text.empty()) {
+        map.fault(key, "must be IP:PORT, for example 10.0.0.4:8080");
+    }
+    return endpoint.value_or(Endpoint());
+}
+
+std::string readSecret(YamlMap &map, const std::string &key)
+{
+    std::string secret = map.text(key);
+    if (!secret.empty() && secret.size() < ShortestSecret) {
+        map.fault(key, "must have at least " + std::to_string(ShortestSecret) + " characters");
+    }
+    return secret;
+}
+
+} // namespace apricotarch
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -46,6 +46,14 @@
         return "not_ready";
     case ErrorId::StoreUnavailable:
         return "store_unavailable";
+    case ErrorId::RateLimited:
+        return "rate_limited";
+    case ErrorId::HistoryDropped:
+        return "history_dropped";
+    case ErrorId::StoreFull:
+        return "store_full";
+    case ErrorId::NotAllowed:
+        return "not_allowed";
     case ErrorId::InvalidSettings:
         return "invalid_settings";
     case ErrorId::InvalidQuestionnaire:
--- /dev/null
+++ b/src/coordination/front_peers.cpp
@@ -0,0 +1,113 @@
+#include "apricotarch/coordination/front_peers.h"
+
+#include <algorithm>
+
+namespace apricotarch
+{
+
+FrontPeers::FrontPeers(NodeId self, PeerTimes times)
+    : m_self(std::move(self))
+    , m_times(times)
+{
+}
+
+void FrontPeers::introduce(const Endpoint &peerAddress, TimePoint now)
+{
+    const auto [entry, added] = m_peers.try_emplace(peerAddress);
+    if (added) {
+        entry->second.address = peerAddress;
+        entry->second.knownSince = now;
+    }
+}
+
+bool FrontPeers::heard(const FrontBeat &beat, TimePoint now)
+{
+    if (beat.node == m_self) {
+        return false;
+    }
+    introduce(beat.peerAddress, now);
+    FrontPeer &peer = m_peers[beat.peerAddress];
+    const bool sameStart = peer.heardAt && peer.beat.node == beat.node && peer.beat.incarnation == beat.incarnation;
+    // Incarnations are not ordered: a VM's time of day may step back between two starts.
+    if (sameStart && beat.sequence <= peer.beat.sequence) {
+        return false;
+    }
+    peer.beat = beat;
+    peer.heardAt = now;
+    return true;
+}
+
+bool FrontPeers::within(const FrontPeer &peer, Duration time, TimePoint now) const
+{
+    return peer.heardAt && now - *peer.heardAt <= time;
+}
+
+std::vector<CallerAddress> FrontPeers::callerAddresses(TimePoint now) const
+{
+    std::vector<CallerAddress> addresses;
+    for (const auto &[address, peer] : m_peers) {
+        if (within(peer, m_times.listed, now) && peer.beat.ready && !peer.beat.leaving) {
+            addresses.push_back({peer.beat.callerAddress, peer.beat.zone});
+        }
+    }
+    return addresses;
+}
+
+std::size_t FrontPeers::count(TimePoint now) const
+{
+    const auto others = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return within(entry.second, m_times.forgotten, now) || now - entry.second.knownSince <= m_times.counted;
+    });
+    return static_cast<std::size_t>(others) + 1;
+}
+
+std::vector<Endpoint> FrontPeers::beatAddresses(TimePoint now) const
+{
+    std::vector<Endpoint> addresses;
+    for (const auto &[address, peer] : m_peers) {
+        const bool recent = peer.heardAt ? now - *peer.heardAt <= m_times.forgotten : now - peer.knownSince <= m_times.forgotten;
+        if (recent) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
+std::map<ReplicaId, BackendLoad> FrontPeers::othersLoad(TimePoint now) const
+{
+    std::map<ReplicaId, BackendLoad> loads;
+    for (const auto &[address, peer] : m_peers) {
+        if (!within(peer, m_times.counted, now)) {
+            continue;
+        }
+        for (const ServerLoad &entry : peer.beat.loads) {
+            loads[entry.replica] += entry.load;
+        }
+    }
+    return loads;
+}
+
+std::optional<Endpoint> FrontPeers::ahead(RowVersion plan, RowVersion servers, TimePoint now) const
+{
+    const FrontPeer *best = nullptr;
+    for (const auto &[address, peer] : m_peers) {
+        const bool newer = peer.beat.planVersion > plan || peer.beat.serversVersion > servers;
+        if (!within(peer, m_times.listed, now) || !newer) {
+            continue;
+        }
+        if (best == nullptr || peer.beat.serversVersion > best->beat.serversVersion) {
+            best = &peer;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional<Endpoint>(best->address);
+}
+
+void FrontPeers::forgetSilent(TimePoint now)
+{
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const FrontPeer &peer = entry.second;
+        return now - peer.heardAt.value_or(peer.knownSince) > m_times.forgotten;
+    });
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,167 @@
+#include "apricotarch/coordination/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "apricotarch/base/hash.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+/// Share of a slot that a server in another zone must be better by.
+constexpr double OtherZoneCost = 0.3;
+
+/// Milliseconds that rank by hash adds per step, so that equal engines keep their own prompts.
+constexpr double HomeStepMs = 25;
+
+/// Ranks beyond this one cost no more: they are strangers to the prompt anyway.
+constexpr std::size_t HomeRanks = 4;
+
+double rankHash(std::uint64_t prompt, const ReplicaId &engine)
+{
+    return static_cast<double>(contentHash(engine.value() + std::to_string(prompt)).value());
+}
+
+/// What a prompt's home is found by: the last of its parts that other requests share.
+std::uint64_t homeKey(const std::vector<PromptPart> &parts)
+{
+    if (parts.empty()) {
+        return 0;
+    }
+    return parts.size() == 1 ? parts.front().id : parts[parts.size() - 2].id;
+}
+
+} // namespace
+
+std::vector<BackendPointer> preferred(const std::vector<BackendPointer> &servers, const std::set<ReplicaId> &tried, TimePoint now)
+{
+    std::vector<BackendPointer> untried;
+    std::vector<BackendPointer> trusted;
+    for (const BackendPointer &server : servers) {
+        if (tried.contains(server->record.id)) {
+            continue;
+        }
+        untried.push_back(server);
+        if (server->avoidUntil <= now) {
+            trusted.push_back(server);
+        }
+    }
+    return trusted.empty() ? untried : trusted;
+}
+
+Placer::Placer(EngineSpeed speed, std::uint64_t seed)
+    : m_speed(speed)
+    , m_random(seed)
+{
+}
+
+Placement Placer::placePlain(const std::vector<BackendPointer> &servers, const PlacementRequest &request, TimePoint now)
+{
+    Placement placement;
+    const std::vector<BackendPointer> candidates = preferred(servers, request.tried, now);
+    placement.candidates = candidates.size();
+    double best = std::numeric_limits<double>::max();
+    std::uniform_real_distribution<double> tie(0, 0.01);
+    for (const BackendPointer &server : candidates) {
+        const double used = static_cast<double>(server->load().requests) / std::max(server->record.slots, 1);
+        placement.idle += used < 0.5 ? 1 : 0;
+        const double away = server->record.zone == request.zone ? 0 : OtherZoneCost / std::max(server->record.slots, 1);
+        const double cost = used + away + tie(m_random);
+        if (cost < best) {
+            best = cost;
+            placement.run = server;
+        }
+    }
+    return placement;
+}
+
+double Placer::readMs(const Backend &engine, std::int64_t tokens) const
+{
+    const bool prefill = engine.record.stage == EngineStage::Prefill;
+    const double rate = m_speed.prefillTokensPerMs * (prefill ? 1 : m_speed.decodePrefillShare);
+    const double chunk = m_speed.prefillChunk * (prefill ? 1 : 0.25);
+    const double count = static_cast<double>(tokens);
+    return count / rate + std::ceil(count / chunk) * m_speed.stepMs;
+}
+
+double Placer::slotWaitMs(const Backend &engine, const EngineSpec &spec) const
+{
+    // Beyond its slots an engine queues; each request in the queue waits for about one decoding to end.
+    constexpr double DecodeMs = 250;
+    const std::int64_t excess = engine.load().requests - std::max(spec.slots, 1) + 1;
+    return excess <= 0 ? 0 : DecodeMs * static_cast<double>(excess) / std::max(spec.slots, 1);
+}
+
+Placer::Candidate Placer::judge(const BackendPointer &engine, const PlacementRequest &request, const EngineSpec &spec) const
+{
+    Candidate candidate;
+    candidate.engine = engine;
+    const std::int64_t cached = std::min(engine->cache.cachedTokens(request.parts), request.promptTokens);
+    candidate.toRead = std::max<std::int64_t>(request.promptTokens - cached, 1);
+    const double wait = readMs(*engine, engine->load().promptTokens) + slotWaitMs(*engine, spec);
+    candidate.firstMs = wait + readMs(*engine, candidate.toRead) + m_speed.stepMs;
+    candidate.cost = candidate.firstMs;
+    return candidate;
+}
+
+Placement Placer::placePrompt(
+    const std::vector<BackendPointer> &engines, const PlacementRequest &request, const EngineSpec &spec, TimePoint now)
+{
+    Placement placement;
+    std::vector<Candidate> decoders;
+    std::vector<Candidate> readers;
+    for (const BackendPointer &engine : preferred(engines, request.tried, now)) {
+        auto &list = engine->record.stage == EngineStage::Prefill ? readers : decoders;
+        list.push_back(judge(engine, request, spec));
+        placement.idle += engine->load().requests * 2 < spec.slots ? 1 : 0;
+        ++placement.candidates;
+    }
+    const std::uint64_t key = homeKey(request.parts);
+    const auto byCost = [](const Candidate &left, const Candidate &right) {
+        return left.cost < right.cost;
+    };
+    const auto addHomeCost = [&](std::vector<Candidate> &list) {
+        std::sort(list.begin(), list.end(), [&](const Candidate &left, const Candidate &right) {
+            return rankHash(key, left.engine->record.id) > rankHash(key, right.engine->record.id);
+        });
+        for (std::size_t rank = 0; rank < list.size(); ++rank) {
+            list[rank].cost += HomeStepMs * static_cast<double>(std::min(rank, HomeRanks));
+        }
+        std::sort(list.begin(), list.end(), byCost);
+    };
+    if (decoders.empty()) {
+        return placement;
+    }
+    addHomeCost(decoders);
+    addHomeCost(readers);
+    const Candidate &inPlace = decoders.front();
+    placement.run = inPlace.engine;
+    placement.tokensToRead = inPlace.toRead;
+    placement.predictedFirstMs = inPlace.firstMs;
+    if (readers.empty()) {
+        return placement;
+    }
+    // With the prompt read elsewhere, the engine that runs it should have few others and little to read itself.
+    const auto lightest = std::min_element(decoders.begin(), decoders.end(), [](const Candidate &left, const Candidate &right) {
+        const BackendLoad a = left.engine->load();
+        const BackendLoad b = right.engine->load();
+        return a.requests * 1000 + a.promptTokens < b.requests * 1000 + b.promptTokens;
+    });
+    const double bytes = static_cast<double>(request.promptTokens) * spec.kvBytesPerToken;
+    const double moveMs = spec.linkMegabits > 0 ? bytes * 8 / (spec.linkMegabits * 1000) : 0;
+    const Candidate &reader = readers.front();
+    const double split = reader.cost + moveMs + m_speed.fetchSetupMs + slotWaitMs(*lightest->engine, spec) + m_speed.stepMs;
+    if (split + m_speed.splitPenaltyMs < inPlace.cost) {
+        placement.run = lightest->engine;
+        placement.prefill = reader.engine;
+        placement.tokensToRead = reader.toRead;
+        placement.predictedFirstMs = split;
+    }
+    return placement;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/protocol/front_codec.cpp
@@ -0,0 +1,160 @@
+#include "apricotarch/protocol/front_codec.h"
+
+#include <algorithm>
+
+#include "apricotarch/protocol/thrift_bytes.h"
+
+#include "peer_types.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+void writeLoads(wire::FrontBeat &message, const FrontBeat &beat)
+{
+    for (const ServerLoad &entry : beat.loads) {
+        wire::ServerLoad load;
+        load.replica = entry.replica.value();
+        load.requests = static_cast<std::int32_t>(entry.load.requests);
+        load.promptTokens = entry.load.promptTokens;
+        message.loads.push_back(std::move(load));
+    }
+}
+
+void writeUses(wire::FrontBeat &message, const FrontBeat &beat)
+{
+    for (const PromptUse &entry : beat.uses) {
+        wire::PromptUse use;
+        use.replica = entry.replica.value();
+        for (const PromptPart &part : entry.prompt) {
+            use.partIds.push_back(static_cast<std::int64_t>(part.id));
+            use.partTokens.push_back(static_cast<std::int32_t>(part.tokens));
+        }
+        message.uses.push_back(std::move(use));
+    }
+}
+
+void writeCrashes(wire::FrontBeat &message, const FrontBeat &beat)
+{
+    for (const CrashRecord &entry : beat.crashRecords) {
+        wire::CrashRecord record;
+        record.contentHash = entry.content.value();
+        record.crashes = entry.crashes;
+        record.remainingMs = entry.remaining.count();
+        message.crashRecords.push_back(record);
+    }
+}
+
+void readLists(FrontBeat &beat, const wire::FrontBeat &message)
+{
+    for (const wire::ServerLoad &entry : message.loads) {
+        beat.loads.push_back({ReplicaId(entry.replica), {entry.requests, entry.promptTokens}});
+    }
+    for (const wire::PromptUse &entry : message.uses) {
+        PromptUse use;
+        use.replica = ReplicaId(entry.replica);
+        for (std::size_t index = 0; index < std::min(entry.partIds.size(), entry.partTokens.size()); ++index) {
+            use.prompt.push_back({static_cast<std::uint64_t>(entry.partIds[index]), entry.partTokens[index]});
+        }
+        beat.uses.push_back(std::move(use));
+    }
+    for (const wire::CrashRecord &entry : message.crashRecords) {
+        beat.crashRecords.push_back({ContentHash(entry.contentHash), entry.crashes, std::chrono::milliseconds(entry.remainingMs)});
+    }
+}
+
+void writeRows(std::vector<wire::StoredRow> &messages, const std::vector<StoredRow> &rows)
+{
+    for (const StoredRow &row : rows) {
+        wire::StoredRow message;
+        message.key = row.key;
+        message.text = row.text;
+        messages.push_back(std::move(message));
+    }
+}
+
+void readRows(std::vector<StoredRow> &rows, std::vector<wire::StoredRow> &messages)
+{
+    for (wire::StoredRow &message : messages) {
+        rows.push_back({std::move(message.key), std::move(message.text), RowVersion(), false});
+    }
+}
+
+} // namespace
+
+std::string encodeFrontBeat(const FrontBeat &beat)
+{
+    wire::FrontBeat message;
+    message.node = beat.node.value();
+    message.incarnation = beat.incarnation.value();
+    message.sequence = beat.sequence;
+    message.zone = beat.zone.value();
+    message.callerAddress = beat.callerAddress.text();
+    message.peerAddress = beat.peerAddress.text();
+    message.ready = beat.ready;
+    message.leaving = beat.leaving;
+    message.planVersion = beat.planVersion.value();
+    message.serversVersion = beat.serversVersion.value();
+    message.lagMicros = beat.lag.count();
+    writeLoads(message, beat);
+    writeUses(message, beat);
+    writeCrashes(message, beat);
+    return toThriftBytes(message);
+}
+
+Result<FrontBeat> decodeFrontBeat(std::string_view bytes, const std::string &peer)
+{
+    const Result<wire::FrontBeat> message = fromThriftBytes<wire::FrontBeat>(bytes, "front_beat.decode", peer);
+    if (!message) {
+        return Failure(message.error());
+    }
+    const Result<Endpoint> callerAddress = parseEndpoint(message->callerAddress);
+    const Result<Endpoint> peerAddress = parseEndpoint(message->peerAddress);
+    if (message->node.empty() || !callerAddress || !peerAddress) {
+        return fail(ErrorId::InvalidField, "front_beat.decode", peer, "node or an address is missing");
+    }
+    FrontBeat beat;
+    beat.node = NodeId(message->node);
+    beat.incarnation = Incarnation(message->incarnation);
+    beat.sequence = message->sequence;
+    beat.zone = ZoneId(message->zone);
+    beat.callerAddress = *callerAddress;
+    beat.peerAddress = *peerAddress;
+    beat.ready = message->ready;
+    beat.leaving = message->leaving;
+    beat.planVersion = RowVersion(message->planVersion);
+    beat.serversVersion = RowVersion(message->serversVersion);
+    beat.lag = std::chrono::microseconds(message->lagMicros);
+    readLists(beat, *message);
+    return beat;
+}
+
+std::string encodeFleetSnapshot(const FleetSnapshot &snapshot)
+{
+    wire::FleetSnapshot message;
+    message.planVersion = snapshot.planVersion.value();
+    message.plan = snapshot.plan;
+    message.serversVersion = snapshot.serversVersion.value();
+    writeRows(message.servers, snapshot.servers);
+    writeRows(message.nodes, snapshot.nodes);
+    return toThriftBytes(message);
+}
+
+Result<FleetSnapshot> decodeFleetSnapshot(std::string_view bytes, const std::string &peer)
+{
+    Result<wire::FleetSnapshot> message = fromThriftBytes<wire::FleetSnapshot>(bytes, "fleet_snapshot.decode", peer);
+    if (!message) {
+        return Failure(message.error());
+    }
+    FleetSnapshot snapshot;
+    snapshot.planVersion = RowVersion(message->planVersion);
+    snapshot.plan = std::move(message->plan);
+    snapshot.serversVersion = RowVersion(message->serversVersion);
+    readRows(snapshot.servers, message->servers);
+    readRows(snapshot.nodes, message->nodes);
+    return snapshot;
+}
+
+} // namespace apricotarch
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -1,9 +1,6 @@
 #include "apricotarch/protocol/peer_codec.h"
 
-#include <memory>
-
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
+#include "apricotarch/protocol/thrift_bytes.h"
 
 #include "peer_types.h"
 
@@ -13,37 +10,6 @@
 namespace
 {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
-constexpr int MaxTextBytes = 8 * 1024 * 1024;
-constexpr int MaxListEntries = 100'000;
-
-template<typename Message>
-std::string toBytes(const Message &message)
-{
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocol protocol(buffer);
-    message.write(&protocol);
-    return buffer->getBufferAsString();
-}
-
-template<typename Message>
-Result<Message> fromBytes(std::string_view bytes, const char *step, const std::string &peer)
-{
-    // Thrift's buffer takes a pointer to mutable bytes but only observes them.
-    auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
-    const auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-    TCompactProtocol protocol(buffer, MaxTextBytes, MaxListEntries);
-    try {
-        Message message;
-        message.read(&protocol);
-        return message;
-    } catch (const std::exception &exception) {
-        return fail(ErrorId::MalformedMessage, step, peer, std::string("not readable as Thrift: ") + exception.what());
-    }
-}
-
 wire::ConfigurationClaim toWire(const ConfigurationClaim &claim)
 {
     wire::ConfigurationClaim message;
@@ -163,13 +129,13 @@
     message.echoIncarnation = heartbeat.echo ? heartbeat.echo->incarnation.value() : 0;
     message.echoSequence = heartbeat.echo ? heartbeat.echo->sequence : 0;
     writeLists(message, heartbeat);
-    return toBytes(message);
+    return toThriftBytes(message);
 }
 
 Result<Heartbeat> decodeHeartbeat(std::string_view bytes, const std::string &peer)
 {
     constexpr const char *Step = "peer.decode_heartbeat";
-    const Result<wire::Heartbeat> message = fromBytes<wire::Heartbeat>(bytes, Step, peer);
+    const Result<wire::Heartbeat> message = fromThriftBytes<wire::Heartbeat>(bytes, Step, peer);
     if (!message) {
         return Failure(message.error());
     }
@@ -213,12 +179,12 @@
     } else {
         message.kind = wire::PeerRequestKind::FETCH_COMMITTED;
     }
-    return toBytes(message);
+    return toThriftBytes(message);
 }
 
 Result<PeerRequest> decodePeerRequest(std::string_view bytes, const std::string &peer)
 {
-    const Result<wire::PeerRequest> message = fromBytes<wire::PeerRequest>(bytes, "peer.decode_request", peer);
+    const Result<wire::PeerRequest> message = fromThriftBytes<wire::PeerRequest>(bytes, "peer.decode_request", peer);
     if (!message) {
         return Failure(message.error());
     }
@@ -233,12 +199,12 @@
     if (reply.committed) {
         message.__set_committed(toWire(*reply.committed));
     }
-    return toBytes(message);
+    return toThriftBytes(message);
 }
 
 Result<PeerReply> decodePeerReply(std::string_view bytes, const std::string &peer)
 {
-    const Result<wire::PeerReply> message = fromBytes<wire::PeerReply>(bytes, "peer.decode_reply", peer);
+    const Result<wire::PeerReply> message = fromThriftBytes<wire::PeerReply>(bytes, "peer.decode_reply", peer);
     if (!message) {
         return Failure(message.error());
     }
--- a/src/protocol/yaml_map.cpp
+++ b/src/protocol/yaml_map.cpp
@@ -191,6 +191,20 @@
     return has(key) ? number(key, range) : fallback;
 }
 
+double YamlMap::realOr(const std::string &key, double fallback)
+{
+    const YAML::Node node = child(key);
+    if (!node.IsDefined() || node.IsNull()) {
+        return fallback;
+    }
+    double value = 0;
+    if (!YAML::convert<double>::decode(node, value) || !(value >= 0)) {
+        fault(key, "must be a number that is not negative");
+        return 0;
+    }
+    return value;
+}
+
 bool YamlMap::flagOr(const std::string &key, bool fallback)
 {
     return has(key) ? flag(key) : fallback;
--- /dev/null
+++ b/src/state/routing_plan.cpp
@@ -0,0 +1,58 @@
+#include "apricotarch/state/routing_plan.h"
+
+#include <utility>
+
+namespace apricotarch
+{
+
+namespace
+{
+
+std::string lookupKey(std::string_view host, std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + prefix.size() + 1);
+    key += host;
+    key += '\n';
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+RoutingPlan::RoutingPlan(std::int64_t version, std::vector<Route> routes, std::vector<RoutedService> services, CallerLimits limits)
+    : m_version(version)
+    , m_routes(std::move(routes))
+    , m_limits(limits)
+{
+    for (std::size_t index = 0; index < m_routes.size(); ++index) {
+        m_byPrefix[lookupKey(m_routes[index].host, m_routes[index].prefix)] = index;
+    }
+    for (RoutedService &service : services) {
+        ServiceId id = service.id;
+        m_services.insert_or_assign(std::move(id), std::move(service));
+    }
+}
+
+const Route *RoutingPlan::find(std::string_view host, std::string_view path) const
+{
+    // Every prefix ends with a slash, so only the parts of the path up to a slash can be one.
+    std::string key = lookupKey(host, path);
+    const std::size_t pathStart = host.size() + 1;
+    for (std::size_t slash = key.rfind('/'); slash != std::string::npos && slash >= pathStart; slash = key.rfind('/')) {
+        key.resize(slash + 1);
+        if (const auto found = m_byPrefix.find(key); found != m_byPrefix.end()) {
+            return &m_routes[found->second];
+        }
+        key.resize(slash);
+    }
+    return nullptr;
+}
+
+const RoutedService *RoutingPlan::service(const ServiceId &id) const
+{
+    const auto found = m_services.find(id);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/backend_channel.cpp
@@ -0,0 +1,284 @@
+#include "apricotarch/transport/backend_channel.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace apricotarch
+{
+
+using ErrorCode = boost::system::error_code;
+using asio::ip::tcp;
+
+namespace
+{
+
+/// A connection used this recently is taken to be open still.
+constexpr std::chrono::milliseconds FreshFor{800};
+
+/// Connections are closed this much before the server would, so that no request crosses its close.
+constexpr std::chrono::milliseconds CloseAhead{1000};
+
+} // namespace
+
+BackendChannel::BackendChannel(const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint)
+    : m_socket(executor)
+    , m_connectTimer(executor)
+    , m_replica(std::move(replica))
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+void BackendChannel::begin(std::string message, bool toHead, OwnAnswer ownAnswer, Duration connectTimeout, Wakeup &wakeup)
+{
+    m_message = std::move(message);
+    m_toHead = toHead;
+    m_ownAnswer = std::move(ownAnswer);
+    m_wakeup = &wakeup;
+    m_maybeSent = false;
+    startReader();
+    if (m_connected) {
+        m_phase = ChannelPhase::Waiting;
+        write();
+        return;
+    }
+    m_phase = ChannelPhase::Connecting;
+    connect(connectTimeout);
+}
+
+void BackendChannel::startReader()
+{
+    m_reader = std::make_unique<AnswerReader>(m_toHead);
+    m_skipping = false;
+}
+
+void BackendChannel::connect(Duration timeout)
+{
+    ErrorCode code;
+    const auto address = asio::ip::make_address(m_endpoint.host, code);
+    if (code) {
+        failed(ErrorId::ConnectFailed, "backend.connect", code.message());
+        return;
+    }
+    m_connectTimer.expires_after(timeout);
+    m_connectTimer.async_wait([self = Pointer(this)](const ErrorCode &ended) {
+        if (!ended && !self->m_connected) {
+            self->failed(ErrorId::ConnectFailed, "backend.connect", "no answer in time");
+        }
+    });
+    m_socket.async_connect(tcp::endpoint(address, m_endpoint.port), [self = Pointer(this)](const ErrorCode &result) {
+        self->m_connectTimer.cancel();
+        if (self->m_phase != ChannelPhase::Connecting) {
+            return;
+        }
+        if (result) {
+            self->failed(ErrorId::ConnectFailed, "backend.connect", result.message());
+            return;
+        }
+        ErrorCode ignored; // Without it the connection is slower, not wrong.
+        self->m_socket.set_option(tcp::no_delay(true), ignored);
+        self->m_connected = true;
+        self->m_phase = ChannelPhase::Waiting;
+        self->read();
+        self->write();
+    });
+}
+
+void BackendChannel::write()
+{
+    m_maybeSent = true;
+    m_writing = true;
+    asio::async_write(m_socket, asio::buffer(m_message), [self = Pointer(this)](const ErrorCode &code, std::size_t) {
+        self->m_writing = false;
+        if (code && self->m_phase == ChannelPhase::Waiting) {
+            // An answer that was sent before the connection broke may still be read.
+            self->m_broken = true;
+        }
+    });
+    if (!m_reading) {
+        read();
+    }
+}
+
+void BackendChannel::read()
+{
+    m_reading = true;
+    m_socket.async_read_some(asio::buffer(m_chunk), [self = Pointer(this)](const ErrorCode &code, std::size_t size) {
+        self->m_reading = false;
+        if (!code) {
+            self->received(size);
+            return;
+        }
+        self->m_broken = true;
+        const bool exchanging = self->m_phase == ChannelPhase::Waiting || self->m_phase == ChannelPhase::Answering;
+        if (!exchanging) {
+            return;
+        }
+        if (code == asio::error::eof && !self->m_skipping && self->m_reader->finish()) {
+            self->m_phase = ChannelPhase::Done;
+            self->changed();
+            return;
+        }
+        self->failed(ErrorId::ConnectionLost, "backend.read", code.message());
+    });
+}
+
+void BackendChannel::received(std::size_t size)
+{
+    if (m_phase == ChannelPhase::Idle || m_phase == ChannelPhase::Done) {
+        m_broken = true; // Bytes that belong to no request.
+        return;
+    }
+    if (m_phase == ChannelPhase::Failed) {
+        return;
+    }
+    m_input.append(m_chunk.data(), size);
+    useInput();
+    if (m_phase == ChannelPhase::Waiting || m_phase == ChannelPhase::Answering) {
+        read();
+    }
+}
+
+void BackendChannel::useInput()
+{
+    while (!m_input.empty()) {
+        const Result<std::size_t> used = m_reader->put(m_input);
+        if (!used) {
+            failed(used.error().id, "backend.read", used.error().detail);
+            return;
+        }
+        m_input.erase(0, *used);
+        if (m_phase == ChannelPhase::Waiting && m_reader->headDone() && !m_skipping) {
+            m_skipping = !m_ownAnswer(m_reader->head());
+            if (!m_skipping) {
+                m_phase = ChannelPhase::Answering;
+            }
+        }
+        if (!m_reader->done()) {
+            break;
+        }
+        if (m_skipping) {
+            startReader();
+            continue;
+        }
+        m_phase = ChannelPhase::Done;
+        // More than the answer has come, or its body was complete before the request was: neither leaves a clean connection.
+        m_broken = m_broken || !m_input.empty() || m_writing;
+        break;
+    }
+    changed();
+    if (m_phase == ChannelPhase::Done && !m_broken && !m_reading) {
+        read();
+    }
+}
+
+bool BackendChannel::detach()
+{
+    m_wakeup = nullptr;
+    const bool reusable = m_phase == ChannelPhase::Done && !m_broken && m_reader->head().keepAlive && !m_reader->head().endsWithConnection;
+    if (!reusable) {
+        close();
+        return false;
+    }
+    m_phase = ChannelPhase::Idle;
+    return true;
+}
+
+void BackendChannel::close()
+{
+    m_wakeup = nullptr;
+    m_broken = true;
+    m_phase = ChannelPhase::Failed;
+    m_connectTimer.cancel();
+    ErrorCode ignored; // Nothing is left to be done for a socket that cannot be closed.
+    m_socket.close(ignored);
+}
+
+void BackendChannel::watchIdle()
+{
+    if (!m_reading && !m_broken) {
+        read();
+    }
+}
+
+void BackendChannel::failed(ErrorId id, const char *step, const std::string &detail)
+{
+    m_error = Error{id, step, m_endpoint.text(), detail, m_maybeSent ? Delivery::MaybeSent : Delivery::NotSent};
+    m_phase = ChannelPhase::Failed;
+    m_broken = true;
+    ErrorCode ignored; // Nothing is left to be done for a socket that cannot be closed.
+    m_socket.close(ignored);
+    changed();
+}
+
+void BackendChannel::changed()
+{
+    if (m_wakeup != nullptr) {
+        m_wakeup->notify();
+    }
+}
+
+BackendPool::BackendPool(PoolLimits limits)
+    : m_limits(limits)
+{
+}
+
+BackendChannel::Pointer BackendPool::acquire(
+    const asio::any_io_executor &executor, const ReplicaId &replica, const Endpoint &endpoint, bool freshest, TimePoint now)
+{
+    auto &idle = m_idle[replica];
+    while (!idle.empty()) {
+        BackendChannel::Pointer channel = idle.back();
+        const Duration rested = now - channel->idleSince;
+        if (freshest && rested > FreshFor && channel->usable()) {
+            break; // Those below it have been idle for longer.
+        }
+        idle.pop_back();
+        if (channel->usable() && channel->endpoint() == endpoint && rested < channel->keepFor) {
+            return channel;
+        }
+        channel->close();
+    }
+    ++m_opened;
+    return new BackendChannel(executor, replica, endpoint);
+}
+
+void BackendPool::release(BackendChannel::Pointer channel, TimePoint now)
+{
+    auto &idle = m_idle[channel->replica()];
+    if (idle.size() >= m_limits.idlePerServer) {
+        channel->close();
+        return;
+    }
+    channel->idleSince = now;
+    channel->keepFor = m_limits.keepIdle;
+    const std::string_view keepAlive = channel->head().headers.value("Keep-Alive");
+    if (const auto at = keepAlive.find("timeout="); at != std::string_view::npos) {
+        int seconds = 0;
+        std::from_chars(keepAlive.data() + at + 8, keepAlive.data() + keepAlive.size(), seconds);
+        channel->keepFor = std::min<Duration>(m_limits.keepIdle, std::chrono::seconds(seconds) - CloseAhead);
+    }
+    channel->watchIdle();
+    idle.push_back(std::move(channel));
+}
+
+void BackendPool::sweep(TimePoint now, const std::function<bool(const ReplicaId &)> &keep)
+{
+    for (auto &[replica, idle] : m_idle) {
+        const bool kept = keep(replica);
+        std::erase_if(idle, [&](const BackendChannel::Pointer &channel) {
+            const bool closed = !kept || !channel->usable() || now - channel->idleSince >= channel->keepFor;
+            if (closed) {
+                channel->close();
+            }
+            return closed;
+        });
+    }
+    std::erase_if(m_idle, [](const auto &entry) {
+        return entry.second.empty();
+    });
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/caller_connection.cpp
@@ -0,0 +1,98 @@
+#include "apricotarch/transport/caller_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace apricotarch
+{
+
+using ErrorCode = boost::system::error_code;
+using asio::ip::tcp;
+
+CallerConnection::CallerConnection(tcp::socket socket)
+    : m_socket(std::move(socket))
+    , m_wakeup(m_socket.get_executor())
+{
+    ErrorCode code;
+    const auto remote = m_socket.remote_endpoint(code);
+    if (!code) {
+        m_peer = remote.address().to_string() + ':' + std::to_string(remote.port());
+    }
+    m_socket.set_option(tcp::no_delay(true), code);
+}
+
+void CallerConnection::start()
+{
+    read();
+}
+
+void CallerConnection::resume()
+{
+    if (!m_reading && !m_ended && m_input.size() < MostUnread) {
+        read();
+    }
+}
+
+void CallerConnection::read()
+{
+    m_reading = true;
+    m_socket.async_read_some(asio::buffer(m_chunk), [self = Pointer(this)](const ErrorCode &code, std::size_t size) {
+        self->m_reading = false;
+        if (code) {
+            self->m_ended = true;
+        } else {
+            self->m_input.append(self->m_chunk.data(), size);
+            self->resume();
+        }
+        self->m_wakeup.notify();
+    });
+}
+
+void CallerConnection::send(std::string bytes)
+{
+    m_output += bytes;
+    if (m_sending.empty()) {
+        write();
+    }
+}
+
+void CallerConnection::write()
+{
+    m_sending = std::move(m_output);
+    m_output.clear();
+    if (m_sending.empty()) {
+        if (m_finishing) {
+            ErrorCode ignored; // The caller may have closed first.
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        return;
+    }
+    asio::async_write(m_socket, asio::buffer(m_sending), [self = Pointer(this)](const ErrorCode &code, std::size_t) {
+        self->m_sending.clear();
+        if (code) {
+            self->m_ended = true;
+            self->m_output.clear();
+        } else {
+            self->write();
+        }
+        self->m_wakeup.notify();
+    });
+}
+
+void CallerConnection::finishSending()
+{
+    m_finishing = true;
+    if (m_sending.empty()) {
+        write();
+    }
+}
+
+void CallerConnection::close()
+{
+    m_ended = true;
+    ErrorCode ignored; // Nothing is left to be done for a socket that cannot be closed.
+    m_socket.close(ignored);
+    m_wakeup.notify();
+}
+
+} // namespace apricotarch
--- /dev/null
+++ b/src/transport/message_reader.cpp
@@ -0,0 +1,234 @@
+#include "apricotarch/transport/message_reader.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace apricotarch
+{
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::uint32_t AnswerHeaderBytes = 64 * 1024;
+
+/// Keeps headers and body of a message. @tparam IsRequest as for the library's parser
+template<bool IsRequest>
+class Parser : public http::basic_parser<IsRequest>
+{
+public:
+    std::string method;
+    std::string target;
+    int version = 11; ///< Ten times the number, as the library counts.
+    int status = 0;
+    std::string reason;
+    HttpHeaders headers;
+    std::string body;
+
+protected:
+    using Error = beast::error_code;
+    using Text = beast::string_view;
+
+    void on_request_impl(http::verb /*verb*/, Text methodText, Text targetText, int versionNumber, Error & /*code*/) override
+    {
+        version = versionNumber;
+        method.assign(methodText.data(), methodText.size());
+        target.assign(targetText.data(), targetText.size());
+    }
+
+    void on_response_impl(int code, Text text, int /*version*/, Error & /*code*/) override
+    {
+        status = code;
+        reason.assign(text.data(), text.size());
+    }
+
+    void on_field_impl(http::field /*field*/, Text name, Text value, Error & /*code*/) override
+    {
+        headers.add(std::string(name), std::string(value));
+    }
+
+    void on_header_impl(Error & /*code*/) override
+    {
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, Error & /*code*/) override
+    {
+    }
+
+    std::size_t on_body_impl(Text text, Error & /*code*/) override
+    {
+        body.append(text.data(), text.size());
+        return text.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/, Error & /*code*/) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, Text text, Error & /*code*/) override
+    {
+        body.append(text.data(), text.size());
+        return text.size();
+    }
+
+    void on_finish_impl(Error & /*code*/) override
+    {
+    }
+};
+
+/// Feeds a parser until it needs more or is done. @return bytes used
+template<typename Parser>
+std::size_t feed(Parser &parser, std::string_view bytes, beast::error_code &code)
+{
+    std::size_t used = 0;
+    while (!parser.is_done() && used < bytes.size()) {
+        const std::size_t taken = parser.put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), code);
+        used += taken;
+        if (code == http::error::need_more) {
+            code = {};
+            break;
+        }
+        if (code || taken == 0) {
+            break;
+        }
+    }
+    return used;
+}
+
+} // namespace
+
+struct RequestReader::Impl
+{
+    Parser<true> parser;
+    RequestHead head;
+    bool headTaken = false;
+};
+
+RequestReader::RequestReader(ReadLimits limits)
+    : m_impl(std::make_unique<Impl>())
+{
+    m_impl->parser.header_limit(limits.headerBytes);
+    m_impl->parser.body_limit(limits.bodyBytes);
+    m_impl->parser.eager(true);
+}
+
+RequestReader::~RequestReader() = default;
+
+Result<std::size_t> RequestReader::put(std::string_view bytes)
+{
+    beast::error_code code;
+    const std::size_t used = feed(m_impl->parser, bytes, code);
+    if (code == http::error::header_limit) {
+        return fail(ErrorId::MessageTooLarge, "request.header", "", code.message());
+    }
+    if (code == http::error::body_limit) {
+        return fail(ErrorId::MessageTooLarge, "request.body", "", code.message());
+    }
+    if (code) {
+        return fail(ErrorId::MalformedMessage, "request.read", "", code.message());
+    }
+    return used;
+}
+
+bool RequestReader::headDone() const noexcept
+{
+    return m_impl->parser.is_header_done();
+}
+
+bool RequestReader::done() const noexcept
+{
+    return m_impl->parser.is_done();
+}
+
+RequestHead &RequestReader::head() noexcept
+{
+    Impl &impl = *m_impl;
+    if (!impl.headTaken && impl.parser.is_header_done()) {
+        impl.headTaken = true;
+        impl.head.method = std::move(impl.parser.method);
+        impl.head.target = std::move(impl.parser.target);
+        impl.head.headers = std::move(impl.parser.headers);
+        impl.head.keepAlive = impl.parser.keep_alive();
+        impl.head.readsChunks = impl.parser.version >= 11;
+        impl.head.expectsContinue = beast::iequals(impl.head.headers.value("Expect"), "100-continue");
+    }
+    return impl.head;
+}
+
+std::string &RequestReader::body() noexcept
+{
+    return m_impl->parser.body;
+}
+
+struct AnswerReader::Impl
+{
+    Parser<false> parser;
+    AnswerHead head;
+    bool headTaken = false;
+};
+
+AnswerReader::AnswerReader(bool toHead)
+    : m_impl(std::make_unique<Impl>())
+{
+    m_impl->parser.header_limit(AnswerHeaderBytes);
+    m_impl->parser.body_limit(boost::none);
+    m_impl->parser.eager(true);
+    m_impl->parser.skip(toHead);
+}
+
+AnswerReader::~AnswerReader() = default;
+
+Result<std::size_t> AnswerReader::put(std::string_view bytes)
+{
+    beast::error_code code;
+    const std::size_t used = feed(m_impl->parser, bytes, code);
+    if (code) {
+        return fail(ErrorId::MalformedMessage, "answer.read", "", code.message(), Delivery::MaybeSent);
+    }
+    return used;
+}
+
+bool AnswerReader::finish()
+{
+    if (!m_impl->parser.got_some()) {
+        return false;
+    }
+    beast::error_code code;
+    m_impl->parser.put_eof(code);
+    return !code && m_impl->parser.is_done();
+}
+
+bool AnswerReader::headDone() const noexcept
+{
+    return m_impl->parser.is_header_done();
+}
+
+bool AnswerReader::done() const noexcept
+{
+    return m_impl->parser.is_done();
+}
+
+AnswerHead &AnswerReader::head() noexcept
+{
+    Impl &impl = *m_impl;
+    if (!impl.headTaken && impl.parser.is_header_done()) {
+        impl.headTaken = true;
+        impl.head.status = impl.parser.status;
+        impl.head.reason = std::move(impl.parser.reason);
+        impl.head.headers = std::move(impl.parser.headers);
+        impl.head.endsWithConnection = impl.parser.need_eof();
+        impl.head.keepAlive = impl.parser.keep_alive();
+    }
+    return impl.head;
+}
+
+std::string &AnswerReader::body() noexcept
+{
+    return m_impl->parser.body;
+}
+
+} // namespace apricotarch
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -1,232 +1,51 @@
 #include "apricotarch/transport/peer_link.h"
 
-#include <array>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/endian/conversion.hpp>
-
 namespace apricotarch
 {
 
-namespace beast = boost::beast;
-using asio::ip::tcp;
-using asio::ip::udp;
-
-namespace
-{
-
-constexpr std::size_t MaxDatagramBytes = 64 * 1024;
-constexpr std::uint32_t MaxFrameBytes = 16 * 1024 * 1024;
-constexpr std::chrono::seconds FrameTimeout{1};
-constexpr auto Complete = asio::use_awaitable;
-using LengthBytes = std::array<std::uint8_t, sizeof(std::uint32_t)>;
-
-Failure broken(const beast::error_code &code, const char *step, const std::string &peer)
-{
-    const ErrorId id = code == beast::error::timeout ? ErrorId::TimedOut : ErrorId::ConnectionLost;
-    return fail(id, step, peer, code.message(), Delivery::MaybeSent);
-}
-
-asio::awaitable<Result<void>> writeFrame(beast::tcp_stream &stream, std::string bytes, std::string peer)
-{
-    LengthBytes length{};
-    boost::endian::store_big_u32(length.data(), static_cast<std::uint32_t>(bytes.size()));
-    const std::array<asio::const_buffer, 2> buffers = {asio::buffer(length), asio::buffer(bytes)};
-    stream.expires_after(FrameTimeout);
-    beast::error_code code;
-    co_await asio::async_write(stream, buffers, asio::redirect_error(Complete, code));
-    if (code) {
-        co_return broken(code, "peer.write_frame", peer);
-    }
-    co_return Result<void>();
-}
-
-asio::awaitable<Result<std::string>> readFrame(beast::tcp_stream &stream, std::string peer)
+PeerTransport::PeerTransport(Workers &workers, const PeerSeal &seal, Metrics &metrics, NodeId self)
+    : m_link(workers, seal, metrics)
+    , m_metrics(metrics)
+    , m_self(std::move(self))
 {
-    LengthBytes length{};
-    stream.expires_after(FrameTimeout);
-    beast::error_code code;
-    co_await asio::async_read(stream, asio::buffer(length), asio::redirect_error(Complete, code));
-    if (code) {
-        co_return broken(code, "peer.read_frame", peer);
-    }
-    const std::uint32_t size = boost::endian::load_big_u32(length.data());
-    if (size > MaxFrameBytes) {
-        co_return fail(
-            ErrorId::MessageTooLarge, "peer.read_frame", peer, "a frame is longer than " + std::to_string(MaxFrameBytes) + " bytes");
-    }
-    std::string bytes(size, '\0');
-    co_await asio::async_read(stream, asio::buffer(bytes), asio::redirect_error(Complete, code));
-    if (code) {
-        co_return broken(code, "peer.read_frame", peer);
-    }
-    co_return bytes;
 }
 
-} // namespace
-
-struct PeerTransport::Impl : std::enable_shared_from_this<PeerTransport::Impl>
-{
-    Impl(Workers &owner, const PeerSeal &sealing, Metrics &counters, NodeId node)
-        : loop(owner.first())
-        , seal(sealing)
-        , metrics(counters)
-        , self(std::move(node))
-        , socket(loop)
-        , acceptor(loop)
-    {
-    }
-
-    Result<void> bind(const Endpoint &endpoint);
-    asio::awaitable<void> receive();
-    asio::awaitable<void> accept();
-    asio::awaitable<void> answer(tcp::socket connection);
-    asio::awaitable<Result<PeerReply>> ask(Endpoint peer, PeerRequest request);
-
-    asio::io_context &loop;
-    const PeerSeal &seal;
-    Metrics &metrics;
-    NodeId self;
-    udp::socket socket;
-    tcp::acceptor acceptor;
-    HeartbeatHandler onHeartbeat;
-    RequestHandler onRequest;
-};
-
-Result<void> PeerTransport::Impl::bind(const Endpoint &endpoint)
+Result<void> PeerTransport::listen(const Endpoint &endpoint, HeartbeatHandler onHeartbeat, RequestHandler onRequest)
 {
-    beast::error_code code;
-    const auto address = asio::ip::make_address(endpoint.host, code);
-    const auto attempt = [&code](auto operation) {
-        if (!code) {
-            operation();
+    const auto receive = [this, handle = std::move(onHeartbeat)](const std::string &bytes, const std::string &peer) {
+        Result<Heartbeat> heartbeat = decodeHeartbeat(bytes, peer);
+        if (!heartbeat) {
+            m_metrics.increment(CounterFamily::Peers, "beat_malformed");
+            return;
         }
+        m_metrics.increment(CounterFamily::Peers, "beat_received");
+        handle(std::move(*heartbeat));
     };
-    const tcp::endpoint tcpEndpoint(address, endpoint.port);
-    const udp::endpoint udpEndpoint(address, endpoint.port);
-    attempt([&] {
-        acceptor.open(tcpEndpoint.protocol(), code);
-    });
-    attempt([&] {
-        acceptor.set_option(asio::socket_base::reuse_address(true), code);
-    });
-    attempt([&] {
-        acceptor.bind(tcpEndpoint, code);
-    });
-    attempt([&] {
-        acceptor.listen(asio::socket_base::max_listen_connections, code);
-    });
-    attempt([&] {
-        socket.open(udpEndpoint.protocol(), code);
-    });
-    attempt([&] {
-        socket.bind(udpEndpoint, code);
-    });
-    if (code) {
-        return fail(ErrorId::ListenFailed, "peer.listen", endpoint.text(), code.message() + "; check peer_address in the settings");
-    }
-    return {};
-}
-
-asio::awaitable<void> PeerTransport::Impl::receive()
-{
-    const auto keep = shared_from_this();
-    std::string buffer(MaxDatagramBytes, '\0');
-    while (true) {
-        udp::endpoint sender;
-        beast::error_code code;
-        const std::size_t size = co_await socket.async_receive_from(asio::buffer(buffer), sender, asio::redirect_error(Complete, code));
-        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) {
-            co_return;
-        }
-        if (code) {
-            continue;
+    const auto answer = [handle = std::move(onRequest)](const std::string &bytes, const std::string &peer) -> std::optional<std::string> {
+        const Result<PeerRequest> request = decodePeerRequest(bytes, peer);
+        if (!request) {
+            return std::nullopt;
         }
-        const std::string peer = sender.address().to_string() + ':' + std::to_string(sender.port());
-        const Result<std::string> bytes = seal.open(std::string_view(buffer).substr(0, size), peer);
-        if (!bytes) {
-            metrics.increment(CounterFamily::Peers, "beat_not_sealed");
-            continue;
-        }
-        Result<Heartbeat> heartbeat = decodeHeartbeat(*bytes, peer);
-        if (!heartbeat) {
-            metrics.increment(CounterFamily::Peers, "beat_malformed");
-            continue;
-        }
-        metrics.increment(CounterFamily::Peers, "beat_received");
-        onHeartbeat(std::move(*heartbeat));
-    }
+        return encodePeerReply(handle(*request));
+    };
+    return m_link.listen(endpoint, receive, answer);
 }
 
-asio::awaitable<void> PeerTransport::Impl::accept()
+void PeerTransport::stop()
 {
-    const auto keep = shared_from_this();
-    while (true) {
-        beast::error_code code;
-        tcp::socket connection = co_await acceptor.async_accept(asio::redirect_error(Complete, code));
-        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor) {
-            co_return;
-        }
-        if (!code) {
-            asio::co_spawn(loop, answer(std::move(connection)), asio::detached);
-        }
-    }
+    m_link.stop();
 }
 
-asio::awaitable<void> PeerTransport::Impl::answer(tcp::socket connection)
+void PeerTransport::beat(const Endpoint &peer, const Heartbeat &heartbeat)
 {
-    const auto keep = shared_from_this();
-    beast::error_code code;
-    const std::string peer = connection.remote_endpoint(code).address().to_string();
-    beast::tcp_stream stream(std::move(connection));
-    const Result<std::string> frame = co_await readFrame(stream, peer);
-    if (!frame) {
-        co_return;
-    }
-    const Result<std::string> bytes = seal.open(*frame, peer);
-    if (!bytes) {
-        metrics.increment(CounterFamily::Peers, "request_not_sealed");
-        co_return;
-    }
-    const Result<PeerRequest> request = decodePeerRequest(*bytes, peer);
-    if (!request) {
-        metrics.increment(CounterFamily::Peers, "request_malformed");
-        co_return;
-    }
-    const PeerReply reply = onRequest(*request);
-    (void)co_await writeFrame(stream, seal.seal(encodePeerReply(reply)), peer);
+    m_link.send(peer, m_link.seal(encodeHeartbeat(heartbeat)));
 }
 
-asio::awaitable<Result<PeerReply>> PeerTransport::Impl::ask(Endpoint peer, PeerRequest request)
+asio::awaitable<Result<PeerReply>> PeerTransport::ask(Endpoint peer, PeerRequest request)
 {
-    const auto keep = shared_from_this();
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
-    beast::error_code code;
-    const tcp::endpoint address(asio::ip::make_address(peer.host, code), peer.port);
-    stream.expires_after(FrameTimeout);
-    co_await stream.async_connect(address, asio::redirect_error(Complete, code));
-    if (code) {
-        co_return fail(ErrorId::ConnectFailed, "peer.connect", peer.text(), code.message());
-    }
-    const Result<void> sent = co_await writeFrame(stream, seal.seal(encodePeerRequest(request, self)), peer.text());
-    if (!sent) {
-        co_return Failure(sent.error());
-    }
-    const Result<std::string> frame = co_await readFrame(stream, peer.text());
-    if (!frame) {
-        co_return Failure(frame.error());
-    }
-    const Result<std::string> bytes = seal.open(*frame, peer.text());
+    const Result<std::string> bytes = co_await m_link.ask(peer, encodePeerRequest(request, m_self));
     if (!bytes) {
         co_return Failure(bytes.error());
     }
@@ -237,54 +56,10 @@
     co_return reply;
 }
 
-PeerTransport::PeerTransport(Workers &workers, const PeerSeal &seal, Metrics &metrics, NodeId self)
-    : m_impl(std::make_shared<Impl>(workers, seal, metrics, std::move(self)))
-{
-}
-
-PeerTransport::~PeerTransport()
-{
-    stop();
-}
-
-Result<void> PeerTransport::listen(const Endpoint &endpoint, HeartbeatHandler onHeartbeat, RequestHandler onRequest)
-{
-    m_impl->onHeartbeat = std::move(onHeartbeat);
-    m_impl->onRequest = std::move(onRequest);
-    Result<void> bound = m_impl->bind(endpoint);
-    if (!bound) {
-        return bound;
-    }
-    asio::co_spawn(m_impl->loop, m_impl->receive(), asio::detached);
-    asio::co_spawn(m_impl->loop, m_impl->accept(), asio::detached);
-    return {};
-}
-
-void PeerTransport::stop()
-{
-    asio::post(m_impl->loop, [impl = m_impl] {
-        beast::error_code ignored;
-        impl->socket.close(ignored);
-        impl->acceptor.close(ignored);
-    });
-}
-
-void PeerTransport::beat(const Endpoint &peer, const Heartbeat &heartbeat)
-{
-    beast::error_code code;
-    const udp::endpoint address(asio::ip::make_address(peer.host, code), peer.port);
-    const std::string bytes = m_impl->seal.seal(encodeHeartbeat(heartbeat));
-    if (!code) {
-        m_impl->socket.send_to(asio::buffer(bytes), address, 0, code);
-    }
-    m_impl->metrics.increment(CounterFamily::Peers, code ? "beat_not_sent" : "beat_sent");
-    m_impl->metrics.add(CounterFamily::Peers, "beat_bytes_sent", code ? 0 : bytes.size());
-}
-
 asio::awaitable<Result<CommittedConfiguration>> PeerTransport::fetchCommitted(Endpoint peer)
 {
     const PeerRequest request = FetchCommittedRequest();
-    const Result<PeerReply> reply = co_await m_impl->ask(peer, request);
+    const Result<PeerReply> reply = co_await ask(peer, request);
     if (!reply) {
         co_return Failure(reply.error());
     }
@@ -297,7 +72,7 @@
 asio::awaitable<Result<std::string>> PeerTransport::fetchBody(Endpoint peer, Digest digest)
 {
     const PeerRequest request = FetchBodyRequest{std::move(digest)};
-    const Result<PeerReply> reply = co_await m_impl->ask(peer, request);
+    const Result<PeerReply> reply = co_await ask(peer, request);
     if (!reply) {
         co_return Failure(reply.error());
     }
@@ -307,7 +82,7 @@
 asio::awaitable<Result<void>> PeerTransport::offer(Endpoint peer, ConfigurationOffer offer)
 {
     const PeerRequest request = std::move(offer);
-    const Result<PeerReply> reply = co_await m_impl->ask(peer, request);
+    const Result<PeerReply> reply = co_await ask(peer, request);
     if (!reply) {
         co_return Failure(reply.error());
     }
