Keep prompts at their first engines

Change: reading counts 5 times on top of the caller's own wait, each step away from a prompt's first engine 400 ms; settings. Conclusion: what shared parts cost decides; large prompts starve under load next.

--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -28,6 +28,8 @@
     double fetchSetupMs = 5; ///< Before KV memory flows from one engine to another.
     double splitPenaltyMs = 60; ///< How much earlier a first event must be for a move of KV memory to be worth its price.
     double cacheShare = 0.7; ///< Part of an engine's KV memory that is taken to hold cached parts.
+    double readWeight = 5; ///< How much a millisecond of an engine's reading counts on top of the caller's own wait.
+    double homeStepMs = 400; ///< What each step away from a prompt's first engine counts.
 };
 
 /// What is to be placed.
--- a/src/app/front_settings.cpp
+++ b/src/app/front_settings.cpp
@@ -33,6 +33,10 @@
 {
     EngineSpeed &speed = settings.engineSpeed;
     speed.prefillTokensPerMs = std::max(1.0, root.realOr("prefill_tokens_per_ms", speed.prefillTokensPerMs));
+    speed.splitPenaltyMs = root.realOr("split_penalty_ms", speed.splitPenaltyMs);
+    speed.cacheShare = root.realOr("cache_share", speed.cacheShare);
+    speed.readWeight = root.realOr("read_weight", speed.readWeight);
+    speed.homeStepMs = root.realOr("home_step_ms", speed.homeStepMs);
     speed.prefillChunk = std::max(1.0, root.realOr("prefill_chunk_tokens", speed.prefillChunk));
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,9 +15,6 @@
 /// Share of a slot that a server in another zone must be better by.
 constexpr double OtherZoneCost = 0.3;
 
-/// Milliseconds that rank by hash adds per step, so that equal engines keep their own prompts.
-constexpr double HomeStepMs = 25;
-
 /// Ranks beyond this one cost no more: they are strangers to the prompt anyway.
 constexpr std::size_t HomeRanks = 4;
 
@@ -104,7 +101,7 @@
     candidate.toRead = std::max<std::int64_t>(request.promptTokens - cached, 1);
     const double wait = readMs(*engine, engine->load().promptTokens) + slotWaitMs(*engine, spec);
     candidate.firstMs = wait + readMs(*engine, candidate.toRead) + m_speed.stepMs;
-    candidate.cost = candidate.firstMs;
+    candidate.cost = candidate.firstMs + m_speed.readWeight * readMs(*engine, candidate.toRead);
     return candidate;
 }
 
@@ -129,7 +126,7 @@
             return rankHash(key, left.engine->record.id) > rankHash(key, right.engine->record.id);
         });
         for (std::size_t rank = 0; rank < list.size(); ++rank) {
-            list[rank].cost += HomeStepMs * static_cast<double>(std::min(rank, HomeRanks));
+            list[rank].cost += m_speed.homeStepMs * static_cast<double>(std::min(rank, HomeRanks));
         }
         std::sort(list.begin(), list.end(), byCost);
     };
@@ -159,7 +156,7 @@
         placement.run = lightest->engine;
         placement.prefill = reader.engine;
         placement.tokensToRead = reader.toRead;
-        placement.predictedFirstMs = split;
+        placement.predictedFirstMs = split - reader.cost + reader.firstMs;
     }
     return placement;
 }
