--- a/include/apricotarch/app/fleet_keeper.h
+++ b/include/apricotarch/app/fleet_keeper.h
@@ -6,8 +6,10 @@
  * their beats.
  */
 
+#include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "apricotarch/app/front_state.h"
@@ -61,6 +63,7 @@
     void applyPlan(const std::string &text, RowVersion version, const char *source);
     void applyServers(const std::vector<StoredRow> &rows, RowVersion version, bool whole);
     void noteStore(Table table, const Result<RowBatch> &result);
+    [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
     [[nodiscard]] asio::awaitable<void> registerNode();
     [[nodiscard]] asio::awaitable<Result<void>> registerOnce();
 
@@ -70,6 +73,7 @@
     void sendBeat();
     [[nodiscard]] FrontBeat makeBeat();
     void heard(const std::string &bytes, const std::string &peer);
+    void catchUpIfBehind(TimePoint now);
     [[nodiscard]] asio::awaitable<void> catchUp(Endpoint peer);
     [[nodiscard]] FleetSnapshot snapshot() const;
     void takeOthersLoad();
@@ -89,7 +93,8 @@
     std::string m_planText;
     std::map<std::string, std::string> m_serverTexts;
     std::map<std::string, std::string> m_nodeTexts;
-    bool m_storeLost = false;
+    std::array<bool, 2> m_lost{}; ///< By table: whether the last call for it failed.
+    std::optional<TimePoint> m_behindSince; ///< Since when peers have read newer rows than this node.
     bool m_catchingUp = false;
     std::chrono::microseconds m_lag{0};
 };
--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -69,6 +69,9 @@
     [[nodiscard]] Placement placePrompt(
         const std::vector<BackendPointer> &engines, const PlacementRequest &request, const EngineSpec &spec, TimePoint now);
 
+    /// The engine that generates for a prompt which another one has read: the one with the least work. @return null for none
+    [[nodiscard]] BackendPointer placeRun(const std::vector<BackendPointer> &engines, const std::set<ReplicaId> &tried, TimePoint now) const;
+
     /// Milliseconds until an engine would have read @p tokens more.
     [[nodiscard]] double readMs(const Backend &engine, std::int64_t tokens) const;
 
--- a/src/app/fleet_keeper.cpp
+++ b/src/app/fleet_keeper.cpp
@@ -23,9 +23,12 @@
 /// Pause after changes of the servers' table, so that several changes come with one call.
 constexpr Duration ChangesPause = 120ms;
 
+/// A node that has been behind its peers for this long reads from one of them; the store itself is as fast as that.
+constexpr Duration BehindFor = 400ms;
+
 /// First and longest pause after a failed call of the store.
 constexpr Duration FirstRetry = 150ms;
-constexpr Duration LongestRetry = 1s;
+constexpr Duration LongestRetry = 600ms;
 
 /// Between two beats: well below the time after which a silent node is no longer listed.
 constexpr Duration BeatPause = 100ms;
@@ -79,18 +82,11 @@
 
 asio::awaitable<void> FleetKeeper::watch(Table table)
 {
-    const std::string name = table == Table::Plan ? m_formats.planTable : m_formats.serversTable;
     RowVersion &version = table == Table::Plan ? m_readPlan : m_readServers;
     Duration pause = FirstRetry;
     while (true) {
         const bool whole = version.value() == 0;
-        // g++ 12 destroys the result twice where co_await stands in a conditional expression.
-        Result<RowBatch> batch;
-        if (whole) {
-            batch = co_await m_tables.readTable(name);
-        } else {
-            batch = co_await m_tables.readChanges(name, version, FeedWait);
-        }
+        const Result<RowBatch> batch = co_await readTable(table, pause > FirstRetry);
         noteStore(table, batch);
         if (batch) {
             pause = FirstRetry;
@@ -111,23 +107,36 @@
     }
 }
 
+asio::awaitable<Result<RowBatch>> FleetKeeper::readTable(Table table, bool recovering)
+{
+    const std::string &name = table == Table::Plan ? m_formats.planTable : m_formats.serversTable;
+    const RowVersion version = table == Table::Plan ? m_readPlan : m_readServers;
+    if (version.value() == 0) {
+        co_return co_await m_tables.readTable(name);
+    }
+    // A call made while the store was silent may never be answered, so none waits until one has been.
+    co_return co_await m_tables.readChanges(name, version, recovering ? Duration::zero() : FeedWait);
+}
+
 void FleetKeeper::noteStore(Table table, const Result<RowBatch> &result)
 {
     const bool lost = !result && result.error().id != ErrorId::HistoryDropped;
     if (!result) {
         m_state.metrics.increment(CounterFamily::Configurations, std::string("store_") + errorName(result.error().id));
     }
-    if (lost == m_storeLost) {
+    bool &lostBefore = m_lost.at(static_cast<std::size_t>(table));
+    if (lost == lostBefore) {
         return;
     }
-    m_storeLost = lost;
+    lostBefore = lost;
+    const char *name = table == Table::Plan ? "plan" : "servers";
     if (lost) {
         LogEvent("store.lost", LogEvent::Level::Warning)
-            .field("table", table == Table::Plan ? "plan" : "servers")
+            .field("table", name)
             .field("plan", m_state.plan->version())
             .error(result.error());
     } else {
-        LogEvent("store.regained").field("plan", m_state.plan->version());
+        LogEvent("store.regained").field("table", name).field("plan", m_state.plan->version());
     }
 }
 
@@ -216,7 +225,10 @@
         LogEvent("servers.read").field("servers", records.size()).field("row_version", version);
     }
     m_state.serversKnown = true;
-    m_serversVersion = std::max(m_serversVersion, version);
+    // Versions of rows are compared among nodes; the store's own version grows without any change of this table.
+    for (const StoredRow &row : rows) {
+        m_serversVersion = std::max(m_serversVersion, row.version);
+    }
 }
 
 asio::awaitable<void> FleetKeeper::registerNode()
@@ -344,9 +356,22 @@
     if (!beat->crashRecords.empty()) {
         m_state.crashes.learn(beat->crashRecords, now);
     }
-    if (m_storeLost && !m_catchingUp && m_state.peers.ahead(m_planVersion, m_serversVersion, now)) {
+    catchUpIfBehind(now);
+}
+
+void FleetKeeper::catchUpIfBehind(TimePoint now)
+{
+    const std::optional<Endpoint> peer = m_state.peers.ahead(m_planVersion, m_serversVersion, now);
+    if (!peer) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince) {
+        m_behindSince = now;
+    }
+    if (now - *m_behindSince >= BehindFor && !m_catchingUp) {
         m_catchingUp = true;
-        asio::co_spawn(m_state.executor, catchUp(beat->peerAddress), asio::detached);
+        asio::co_spawn(m_state.executor, catchUp(*peer), asio::detached);
     }
 }
 
@@ -362,6 +387,7 @@
         }
         if (told->serversVersion > m_serversVersion) {
             applyServers(told->servers, told->serversVersion, true);
+            m_serversVersion = told->serversVersion;
             m_readServers = std::max(m_readServers, told->serversVersion);
         }
         for (const StoredRow &row : told->nodes) {
@@ -370,6 +396,7 @@
             }
         }
     }
+    m_behindSince.reset();
     m_catchingUp = false;
 }
 
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -280,6 +280,7 @@
             break;
         }
         std::optional<KvLocation> kv;
+        BackendPointer engine = placement.run;
         if (placement.prefill) {
             kv = co_await prefill(placement);
             if (m_done) {
@@ -288,12 +289,19 @@
             if (!kv) {
                 continue;
             }
+            // Reading has taken its time: engines may have begun to leave meanwhile, and loads have changed.
+            engine = m_state.placer.placeRun(m_state.backends.usable(m_serviceId, m_state.clock.now()), m_tried, m_state.clock.now());
+            if (!engine) {
+                releaseKv(*kv, placement.prefill->record.id);
+                refuse(RefusalReason::NoServer);
+                break;
+            }
         }
         SendTerms terms;
         terms.kvSource = kv;
         terms.lastEvent = m_events.lastId();
         const std::int64_t toRead = kv ? 0 : placement.tokensToRead;
-        const Attempt ended = co_await attempt(placement.run, std::move(terms), toRead, patience(placement));
+        const Attempt ended = co_await attempt(engine, std::move(terms), toRead, patience(placement));
         if (kv && ended.end != AttemptEnd::Answered) {
             releaseKv(*kv, placement.prefill->record.id);
         }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,6 +15,9 @@
 /// Share of a slot that a server in another zone must be better by.
 constexpr double OtherZoneCost = 0.3;
 
+/// Milliseconds of work that a running request stands for when engines are compared.
+constexpr double RequestMs = 30;
+
 /// Ranks beyond this one cost no more: they are strangers to the prompt anyway.
 constexpr std::size_t HomeRanks = 4;
 
@@ -105,6 +108,24 @@
     return candidate;
 }
 
+BackendPointer Placer::placeRun(const std::vector<BackendPointer> &engines, const std::set<ReplicaId> &tried, TimePoint now) const
+{
+    BackendPointer best;
+    double least = std::numeric_limits<double>::max();
+    for (const BackendPointer &engine : preferred(engines, tried, now)) {
+        if (engine->record.stage == EngineStage::Prefill) {
+            continue;
+        }
+        const BackendLoad load = engine->load();
+        const double work = readMs(*engine, load.promptTokens) + RequestMs * static_cast<double>(load.requests);
+        if (work < least) {
+            least = work;
+            best = engine;
+        }
+    }
+    return best;
+}
+
 Placement Placer::placePrompt(
     const std::vector<BackendPointer> &engines, const PlacementRequest &request, const EngineSpec &spec, TimePoint now)
 {
@@ -143,17 +164,13 @@
         return placement;
     }
     // With the prompt read elsewhere, the engine that runs it should have few others and little to read itself.
-    const auto lightest = std::min_element(decoders.begin(), decoders.end(), [](const Candidate &left, const Candidate &right) {
-        const BackendLoad a = left.engine->load();
-        const BackendLoad b = right.engine->load();
-        return a.requests * 1000 + a.promptTokens < b.requests * 1000 + b.promptTokens;
-    });
+    const BackendPointer runner = placeRun(engines, request.tried, now);
     const double bytes = static_cast<double>(request.promptTokens) * spec.kvBytesPerToken;
     const double moveMs = spec.linkMegabits > 0 ? bytes * 8 / (spec.linkMegabits * 1000) : 0;
     const Candidate &reader = readers.front();
-    const double split = reader.cost + moveMs + m_speed.fetchSetupMs + slotWaitMs(*lightest->engine, spec) + m_speed.stepMs;
+    const double split = reader.cost + moveMs + m_speed.fetchSetupMs + slotWaitMs(*runner, spec) + m_speed.stepMs;
     if (split + m_speed.splitPenaltyMs < inPlace.cost) {
-        placement.run = lightest->engine;
+        placement.run = runner;
         placement.prefill = reader.engine;
         placement.tokensToRead = reader.toRead;
         placement.predictedFirstMs = split - reader.cost + reader.firstMs;
