Refuse at once what would wait too long for an engine

Change: a prompt that would wait over 600 ms before it is read is refused with Retry-After; engines are not told priorities.

--- a/include/apricotarch/app/forwarder.h
+++ b/include/apricotarch/app/forwarder.h
@@ -27,6 +27,7 @@
     TooLate, ///< It cannot be served within its time.
     Convicted, ///< Its content has crashed backend servers.
     ServersFull, ///< Every server that may be asked has declined.
+    Overloaded, ///< It would wait for longer than it is worth.
     OutOfMemory, ///< The node holds too many bodies already.
 };
 
@@ -72,6 +73,7 @@
 
     [[nodiscard]] bool refuseEarly();
     [[nodiscard]] Placement place();
+    [[nodiscard]] bool isHopeless(const Placement &placement) const;
     [[nodiscard]] ServiceId chooseService() const;
     [[nodiscard]] AttemptFacts facts() const;
     [[nodiscard]] Duration patience(const Placement &placement) const;
--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -29,6 +29,8 @@
     double splitPenaltyMs = 60; ///< How much earlier a first event must be for a move of KV memory to be worth its price.
     double cacheShare = 0.7; ///< Part of an engine's KV memory that is taken to hold cached parts.
     double readWeight = 5; ///< How much a millisecond of an engine's reading counts on top of the caller's own wait.
+    double longestWaitMs = 600; ///< A prompt that would wait longer than this before it is read is refused.
+    bool usePriorities = false; ///< Whether engines are told the routes' priorities.
     double homeStepMs = 400; ///< What each step away from a prompt's first engine counts.
 };
 
@@ -48,6 +50,7 @@
     BackendPointer prefill; ///< Reads the prompt first; null where `run` does.
     std::int64_t tokensToRead = 0; ///< At the server that reads the prompt.
     double predictedFirstMs = 0; ///< Until the first event.
+    double waitMs = 0; ///< Of that, until the prompt begins to be read.
     std::size_t candidates = 0;
     std::size_t idle = 0; ///< Candidates with less than half of their slots in use.
 };
@@ -80,6 +83,7 @@
     {
         BackendPointer engine;
         std::int64_t toRead = 0;
+        double waitMs = 0;
         double firstMs = 0;
         double cost = 0; ///< What is compared.
     };
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -64,6 +64,8 @@
         return {503, "content_crashes_servers", true};
     case RefusalReason::ServersFull:
         return {503, "servers_full", true};
+    case RefusalReason::Overloaded:
+        return {503, "overloaded", true};
     case RefusalReason::OutOfMemory:
         return {503, "node_memory", true};
     }
@@ -235,6 +237,11 @@
     return m_state.placer.placePlain(servers, request, now);
 }
 
+bool Forwarder::isHopeless(const Placement &placement) const
+{
+    return placement.waitMs > m_state.settings.engineSpeed.longestWaitMs;
+}
+
 AttemptFacts Forwarder::facts() const
 {
     AttemptFacts facts;
@@ -279,6 +286,10 @@
             m_tried.empty() ? refuse(RefusalReason::NoServer) : refuse(RefusalReason::ServersFull);
             break;
         }
+        if (m_sends == 0 && isHopeless(placement)) {
+            refuse(RefusalReason::Overloaded);
+            break;
+        }
         std::optional<KvLocation> kv;
         BackendPointer engine = placement.run;
         if (placement.prefill) {
@@ -396,7 +407,9 @@
     terms.replica = backend->record.id;
     terms.timeLeft = timeLeft();
     if (m_request.prompt) {
-        terms.priority = std::clamp(m_route->priority, 0, LeastPriority);
+        if (m_state.settings.engineSpeed.usePriorities) {
+            terms.priority = std::clamp(m_route->priority, 0, LeastPriority);
+        }
         backend->cache.use(m_request.prompt->parts);
         m_state.uses.push_back({backend->record.id, m_request.prompt->parts});
     }
--- a/src/app/front_settings.cpp
+++ b/src/app/front_settings.cpp
@@ -36,6 +36,8 @@
     speed.splitPenaltyMs = root.realOr("split_penalty_ms", speed.splitPenaltyMs);
     speed.cacheShare = root.realOr("cache_share", speed.cacheShare);
     speed.readWeight = root.realOr("read_weight", speed.readWeight);
+    speed.usePriorities = root.flagOr("use_priorities", speed.usePriorities);
+    speed.longestWaitMs = root.realOr("longest_wait_ms", speed.longestWaitMs);
     speed.homeStepMs = root.realOr("home_step_ms", speed.homeStepMs);
     speed.prefillChunk = std::max(1.0, root.realOr("prefill_chunk_tokens", speed.prefillChunk));
 }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -102,8 +102,8 @@
     candidate.engine = engine;
     const std::int64_t cached = std::min(engine->cache.cachedTokens(request.parts), request.promptTokens);
     candidate.toRead = std::max<std::int64_t>(request.promptTokens - cached, 1);
-    const double wait = readMs(*engine, engine->load().promptTokens) + slotWaitMs(*engine, spec);
-    candidate.firstMs = wait + readMs(*engine, candidate.toRead) + m_speed.stepMs;
+    candidate.waitMs = readMs(*engine, engine->load().promptTokens) + slotWaitMs(*engine, spec);
+    candidate.firstMs = candidate.waitMs + readMs(*engine, candidate.toRead) + m_speed.stepMs;
     candidate.cost = candidate.firstMs + m_speed.readWeight * readMs(*engine, candidate.toRead);
     return candidate;
 }
@@ -160,6 +160,7 @@
     placement.run = inPlace.engine;
     placement.tokensToRead = inPlace.toRead;
     placement.predictedFirstMs = inPlace.firstMs;
+    placement.waitMs = inPlace.waitMs;
     if (readers.empty()) {
         return placement;
     }
@@ -173,6 +174,7 @@
         placement.run = runner;
         placement.prefill = reader.engine;
         placement.tokensToRead = reader.toRead;
+        placement.waitMs = reader.waitMs;
         placement.predictedFirstMs = split - reader.cost + reader.firstMs;
     }
     return placement;
