Change engines' stages under a lease

Change: stage planner, stage keeper with the lease of the order model, BootClock, rates in beats, reading at the decode stage costs by the streams it holds up. Conclusion: two thirds at the prefill stage from the start, then by demand.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -121,6 +121,12 @@
   13: required list<CrashRecord> crashRecords
   /// How far the sender is behind its work, in microseconds.
   14: required i64 lagMicros
+  /// Prompt tokens a second that the sender has given engines to read, by service.
+  15: required map<string, double> readRates
+  /// Events a second that the sender has passed on to callers, by service.
+  17: required map<string, double> eventRates
+  /// Engines that are being ordered to change their stage, and take no work meanwhile.
+  16: required list<string> changing
 }
 
 /// Asks a front node for what it knows of the platform's tables.
--- a/include/apricotarch/app/front_settings.h
+++ b/include/apricotarch/app/front_settings.h
@@ -49,6 +49,8 @@
     // ---- engines ----
 
     EngineSpeed engineSpeed;
+    double prefillShare = 0.67; ///< Share of engines that read prompts only, before any load is known.
+    double streamsPerEngine = 24; ///< Streams at one engine that still leave pauses short.
 };
 
 /**
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -6,6 +6,7 @@
  */
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "apricotarch/app/front_settings.h"
 #include "apricotarch/coordination/crash_ledger.h"
 #include "apricotarch/state/metrics.h"
+#include "apricotarch/state/rate_meter.h"
 #include "apricotarch/state/routing_plan.h"
 #include "apricotarch/transport/backend_channel.h"
 #include "apricotarch/transport/backend_dialect.h"
@@ -57,6 +59,9 @@
     Placer placer;
     BackendPool pool;
     std::vector<PromptUse> uses; ///< Prompts sent since the last beat.
+    std::map<ServiceId, RateMeter> readRates; ///< Prompt tokens that this node has given engines to read.
+    std::map<ServiceId, RateMeter> eventRates; ///< Events that this node has passed on to callers.
+    std::map<ReplicaId, TimePoint> changing; ///< Engines that this node orders to change, and until when they are away.
     std::mt19937_64 random; ///< For jitter.
     std::size_t activeRequests = 0;
     std::size_t bufferedBytes = 0; ///< Of requests' bodies.
--- /dev/null
+++ b/include/apricotarch/app/stage_keeper.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/**
+ * @file
+ * Orders engines to change their stage, one node at a time under a lease, one order at a time.
+ */
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "apricotarch/app/front_state.h"
+#include "apricotarch/coordination/lease.h"
+#include "apricotarch/coordination/stage_order.h"
+#include "apricotarch/coordination/stage_planner.h"
+#include "apricotarch/state/decision_log.h"
+
+namespace apricotarch
+{
+
+/// Messages to and from engines about their stage; given by the platform's adapter.
+struct StageMessages
+{
+    std::function<std::string(const StageOrder &order, const Endpoint &engine)> order;
+    std::function<std::string(const ReplicaId &id, const Endpoint &engine)> reportRequest;
+    std::function<Result<EngineReport>(const std::string &body, const std::string &peer)> report;
+};
+
+/// One node's part in changing stages. Used on one event loop.
+class StageKeeper
+{
+public:
+    /**
+     * @param state of the node
+     * @param rows where the lease's row is
+     * @param messages to and from engines
+     * @param self this process
+     */
+    StageKeeper(FrontState &state, TableStore &rows, StageMessages messages, ProcessId self);
+
+    /// Looks for changes that are due, for ever.
+    [[nodiscard]] asio::awaitable<void> run();
+
+private:
+    struct Due
+    {
+        StageChange change;
+        Duration switchTime;
+    };
+
+    [[nodiscard]] std::optional<Due> nextChange();
+    [[nodiscard]] asio::awaitable<void> carryOut(Due due);
+    [[nodiscard]] asio::awaitable<void> orderUnderLease(BackendPointer engine, EngineStage stage);
+    [[nodiscard]] asio::awaitable<Result<EngineReport>> readReport(BackendPointer engine);
+
+    /// Answer of an engine; status 0 for none.
+    struct EngineAnswer
+    {
+        int status = 0;
+        std::string body;
+    };
+    [[nodiscard]] asio::awaitable<EngineAnswer> exchange(BackendPointer engine, std::string message);
+    void callOff(Backend &engine);
+    [[nodiscard]] StageDemand demandOf(const ServiceId &service, TimePoint now);
+
+    FrontState &m_state;
+    StageMessages m_messages;
+    BootClock m_bootClock;
+    DecisionLog m_decisions;
+    LeaseKeeper m_lease;
+    ProcessId m_self;
+    StagePolicy m_policy;
+    std::map<ReplicaId, TimePoint> m_changedAt;
+    std::map<ServiceId, std::size_t> m_engines; ///< At the last look.
+    TimePoint m_startedAt;
+    TimePoint m_loadedSince;
+    TimePoint m_lastChangeAt;
+};
+
+} // namespace apricotarch
--- a/include/apricotarch/base/clock.h
+++ b/include/apricotarch/base/clock.h
@@ -44,6 +44,17 @@
     [[nodiscard]] asio::awaitable<void> sleep(Duration duration) override;
 };
 
+/// A monotonic clock that also counts time during which the VM was suspended. For leases, which lapse meanwhile.
+class BootClock final : public Clock
+{
+public:
+    [[nodiscard]] TimePoint now() const noexcept override;
+    [[nodiscard]] asio::awaitable<void> sleep(Duration duration) override;
+
+private:
+    SystemClock m_sleeper;
+};
+
 /// A duration in whole milliseconds, for logs and messages.
 [[nodiscard]] constexpr std::int64_t toMilliseconds(Duration duration) noexcept
 {
--- a/include/apricotarch/coordination/front_peers.h
+++ b/include/apricotarch/coordination/front_peers.h
@@ -65,6 +65,12 @@
     /// Work at each backend server that other nodes told of and that still counts.
     [[nodiscard]] std::map<ReplicaId, BackendLoad> othersLoad(TimePoint now) const;
 
+    /// Sum of one of the other nodes' rates for a service. @param rates member of their beats, per millisecond
+    [[nodiscard]] double othersRate(std::map<ServiceId, double> FrontBeat::*rates, const ServiceId &service, TimePoint now) const;
+
+    /// Whether this node has the smallest name of those that are heard; it is the one to change stages.
+    [[nodiscard]] bool isFirst(TimePoint now) const;
+
     /// A peer that has read a newer configuration or servers' table, if any. @param plan, servers as this node has read them
     [[nodiscard]] std::optional<Endpoint> ahead(RowVersion plan, RowVersion servers, TimePoint now) const;
 
--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -29,6 +29,7 @@
     double splitPenaltyMs = 60; ///< How much earlier a first event must be for a move of KV memory to be worth its price.
     double cacheShare = 0.7; ///< Part of an engine's KV memory that is taken to hold cached parts.
     double readWeight = 5; ///< How much a millisecond of an engine's reading counts on top of the caller's own wait.
+    double interference = 0.1; ///< What a millisecond of reading costs for each stream that it holds up.
     double longestWaitMs = 600; ///< A prompt that would wait longer than this before it is read is refused.
     bool usePriorities = false; ///< Whether engines are told the routes' priorities.
     double homeStepMs = 400; ///< What each step away from a prompt's first engine counts.
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -56,7 +56,6 @@
     int slots = 1;
     BackendState state = BackendState::Ready;
     EngineStage stage = EngineStage::Any;
-    std::int64_t orders = 0; ///< Orders accepted since its start.
     std::int64_t startedAt = 0; ///< Unix time of its start in milliseconds; a new value means that it has lost its memory.
 };
 
@@ -114,6 +113,9 @@
     PrefixCacheModel cache;
     TimePoint goneSince; ///< Valid in state Gone.
     TimePoint avoidUntil; ///< Got no new work before, after failures.
+    TimePoint changingUntil; ///< Takes no work before, since its stage is being changed.
+    EngineStage changingTo = EngineStage::Any; ///< Stage that this node has ordered; valid until changingUntil.
+    TimePoint changedAt; ///< When its stage was last seen to have changed.
     TimePoint progressAt; ///< When it last sent a byte of an answer to this node.
     int failures = 0; ///< In a row.
 
@@ -124,6 +126,12 @@
         return sum;
     }
 
+    /// Stage that the server has, or will have once an order is carried out.
+    [[nodiscard]] EngineStage stageToBe(TimePoint now) const noexcept
+    {
+        return changingUntil > now && changingTo != EngineStage::Any ? changingTo : record.stage;
+    }
+
     /// Notes a failure that speaks against the server, and avoids it for a time that doubles with each one in a row.
     void failed(TimePoint now);
 
@@ -169,6 +177,9 @@
     /// Servers of a service that may get new work now; removed ones only where there is no other, and for a short time.
     [[nodiscard]] std::vector<BackendPointer> usable(const ServiceId &service, TimePoint now) const;
 
+    /// Ready servers of a service, also those whose stage is being changed.
+    [[nodiscard]] std::vector<BackendPointer> ready(const ServiceId &service) const;
+
     /// All servers, whatever their state.
     [[nodiscard]] const std::map<ReplicaId, BackendPointer> &all() const noexcept
     {
--- a/include/apricotarch/state/front_beat.h
+++ b/include/apricotarch/state/front_beat.h
@@ -6,6 +6,7 @@
  */
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
     std::vector<PromptUse> uses;
     std::vector<CrashRecord> crashRecords;
     std::chrono::microseconds lag{0}; ///< How late the sender's timers fire.
+    std::map<ServiceId, double> readRates; ///< Prompt tokens a millisecond that the sender has given engines to read.
+    std::map<ServiceId, double> eventRates; ///< Events a millisecond that the sender has passed on to callers.
+    std::vector<ReplicaId> changing; ///< Engines that the sender orders to change their stage; they take no work meanwhile.
 };
 
 /// A row of one of the platform's tables, in the platform's format.
--- a/src/app/fleet_keeper.cpp
+++ b/src/app/fleet_keeper.cpp
@@ -26,6 +26,9 @@
 /// A node that has been behind its peers for this long reads from one of them; the store itself is as fast as that.
 constexpr Duration BehindFor = 400ms;
 
+/// An engine takes no work for this long after a peer has said that it changes its stage; the peer repeats it meanwhile.
+constexpr Duration ChangingHeard = 600ms;
+
 /// First and longest pause after a failed call of the store.
 constexpr Duration FirstRetry = 150ms;
 constexpr Duration LongestRetry = 600ms;
@@ -319,6 +322,19 @@
         }
     }
     beat.uses = std::exchange(m_state.uses, {});
+    const TimePoint now = m_state.clock.now();
+    for (auto &[service, meter] : m_state.readRates) {
+        beat.readRates[service] = meter.perMillisecond(now);
+    }
+    for (auto &[service, meter] : m_state.eventRates) {
+        beat.eventRates[service] = meter.perMillisecond(now);
+    }
+    std::erase_if(m_state.changing, [now](const auto &entry) {
+        return entry.second <= now;
+    });
+    for (const auto &[engine, until] : m_state.changing) {
+        beat.changing.push_back(engine);
+    }
     beat.crashRecords = m_state.crashes.ownRecords(m_state.clock.now());
     return beat;
 }
@@ -353,6 +369,11 @@
             engine->cache.use(use.prompt);
         }
     }
+    for (const ReplicaId &id : beat->changing) {
+        if (const BackendPointer engine = m_state.backends.find(id); engine && now - engine->changedAt > ChangingHeard) {
+            engine->changingUntil = now + ChangingHeard;
+        }
+    }
     if (!beat->crashRecords.empty()) {
         m_state.crashes.learn(beat->crashRecords, now);
     }
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -411,6 +411,7 @@
             terms.priority = std::clamp(m_route->priority, 0, LeastPriority);
         }
         backend->cache.use(m_request.prompt->parts);
+        m_state.readRates[m_serviceId].add(static_cast<double>(tokensToRead), now);
         m_state.uses.push_back({backend->record.id, m_request.prompt->parts});
     }
     if (!terms.prefillOnly) {
@@ -494,6 +495,7 @@
 
 void Forwarder::passEvents(Sending &sending)
 {
+    const std::uint64_t before = m_events.count();
     const std::string events = m_events.take(sending.channel->body());
     sending.channel->body().clear();
     if (events.empty()) {
@@ -506,6 +508,7 @@
         beginStream(*sending.answer);
     }
     m_caller.send(m_terms.readsChunks ? chunk(events) : events);
+    m_state.eventRates[m_serviceId].add(static_cast<double>(m_events.count() - before), m_state.clock.now());
 }
 
 Forwarder::Attempt Forwarder::conclude(Sending &sending)
--- a/src/app/front.cpp
+++ b/src/app/front.cpp
@@ -18,6 +18,7 @@
 #include "apricotarch/app/cli.h"
 #include "apricotarch/app/fleet_keeper.h"
 #include "apricotarch/app/front_state.h"
+#include "apricotarch/app/stage_keeper.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/coordination/directory.h"
 #include "apricotarch/transport/http_server.h"
@@ -128,7 +129,9 @@
         , m_store(m_state.settings.storeAddress, StoreTimeout)
         , m_seal(m_state.settings.peerKey)
         , m_link(m_workers, m_seal, m_state.metrics)
-        , m_keeper(m_state, m_store, m_store, m_link, platformFormats(), Incarnation(wallMicroseconds()))
+        , m_incarnation(wallMicroseconds())
+        , m_keeper(m_state, m_store, m_store, m_link, platformFormats(), m_incarnation)
+        , m_stages(m_state, m_store, {platform::encodeStageOrder, platform::encodeReportRequest, platform::decodeReport}, ProcessId{m_state.settings.node, m_incarnation})
         , m_ready(m_workers, HttpServerLimits(), platform::readinessHandler([this] { return m_state.ready(); }))
         , m_directory(m_workers, HttpServerLimits(), platform::directoryHandler([this](const ZoneId &zone) { return resolve(zone); }))
         , m_metrics(m_workers, HttpServerLimits(), metricsHandler(m_state.metrics))
@@ -155,6 +158,7 @@
         }
         asio::co_spawn(m_workers.first(), acceptCallers(), asio::detached);
         asio::co_spawn(m_workers.first(), watchSettings(), asio::detached);
+        asio::co_spawn(m_workers.first(), m_stages.run(), asio::detached);
         asio::co_spawn(m_workers.first(), writeLogs(), asio::detached);
         awaitSignal();
         LogEvent("node.started")
@@ -304,7 +308,9 @@
     platform::StoreClient m_store;
     PeerSeal m_seal;
     SealedLink m_link;
+    Incarnation m_incarnation;
     FleetKeeper m_keeper;
+    StageKeeper m_stages;
     HttpServer m_ready;
     HttpServer m_directory;
     HttpServer m_metrics;
--- a/src/app/front_settings.cpp
+++ b/src/app/front_settings.cpp
@@ -37,7 +37,10 @@
     speed.cacheShare = root.realOr("cache_share", speed.cacheShare);
     speed.readWeight = root.realOr("read_weight", speed.readWeight);
     speed.usePriorities = root.flagOr("use_priorities", speed.usePriorities);
+    speed.interference = root.realOr("interference", speed.interference);
     speed.longestWaitMs = root.realOr("longest_wait_ms", speed.longestWaitMs);
+    settings.prefillShare = root.realOr("prefill_share", settings.prefillShare);
+    settings.streamsPerEngine = std::max(1.0, root.realOr("streams_per_engine", settings.streamsPerEngine));
     speed.homeStepMs = root.realOr("home_step_ms", speed.homeStepMs);
     speed.prefillChunk = std::max(1.0, root.realOr("prefill_chunk_tokens", speed.prefillChunk));
 }
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "apricotarch/base/clock.h"
 
+#include <ctime>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -24,4 +26,16 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+TimePoint BootClock::now() const noexcept
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+asio::awaitable<void> BootClock::sleep(Duration duration)
+{
+    return m_sleeper.sleep(duration);
+}
+
 } // namespace apricotarch
--- a/src/coordination/front_peers.cpp
+++ b/src/coordination/front_peers.cpp
@@ -87,6 +87,27 @@
     return loads;
 }
 
+double FrontPeers::othersRate(std::map<ServiceId, double> FrontBeat::*rates, const ServiceId &service, TimePoint now) const
+{
+    double rate = 0;
+    for (const auto &[address, peer] : m_peers) {
+        const std::map<ServiceId, double> &told = peer.beat.*rates;
+        const auto found = told.find(service);
+        if (within(peer, m_times.counted, now) && found != told.end()) {
+            rate += found->second;
+        }
+    }
+    return rate;
+}
+
+bool FrontPeers::isFirst(TimePoint now) const
+{
+    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const FrontPeer &peer = entry.second;
+        return within(peer, m_times.counted, now) && !peer.beat.leaving && peer.beat.node < m_self;
+    });
+}
+
 std::optional<Endpoint> FrontPeers::ahead(RowVersion plan, RowVersion servers, TimePoint now) const
 {
     const FrontPeer *best = nullptr;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -104,7 +104,11 @@
     candidate.toRead = std::max<std::int64_t>(request.promptTokens - cached, 1);
     candidate.waitMs = readMs(*engine, engine->load().promptTokens) + slotWaitMs(*engine, spec);
     candidate.firstMs = candidate.waitMs + readMs(*engine, candidate.toRead) + m_speed.stepMs;
-    candidate.cost = candidate.firstMs + m_speed.readWeight * readMs(*engine, candidate.toRead);
+    const double read = readMs(*engine, candidate.toRead);
+    candidate.cost = candidate.firstMs + m_speed.readWeight * read;
+    if (engine->record.stage != EngineStage::Prefill) {
+        candidate.cost += m_speed.interference * read * static_cast<double>(engine->load().requests);
+    }
     return candidate;
 }
 
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -47,6 +47,19 @@
     }
 }
 
+void writeStages(wire::FrontBeat &message, const FrontBeat &beat)
+{
+    for (const auto &[service, rate] : beat.readRates) {
+        message.readRates[service.value()] = rate;
+    }
+    for (const auto &[service, rate] : beat.eventRates) {
+        message.eventRates[service.value()] = rate;
+    }
+    for (const ReplicaId &engine : beat.changing) {
+        message.changing.push_back(engine.value());
+    }
+}
+
 void readLists(FrontBeat &beat, const wire::FrontBeat &message)
 {
     for (const wire::ServerLoad &entry : message.loads) {
@@ -60,6 +73,15 @@
         }
         beat.uses.push_back(std::move(use));
     }
+    for (const auto &[service, rate] : message.readRates) {
+        beat.readRates[ServiceId(service)] = rate;
+    }
+    for (const auto &[service, rate] : message.eventRates) {
+        beat.eventRates[ServiceId(service)] = rate;
+    }
+    for (const std::string &engine : message.changing) {
+        beat.changing.emplace_back(engine);
+    }
     for (const wire::CrashRecord &entry : message.crashRecords) {
         beat.crashRecords.push_back({ContentHash(entry.contentHash), entry.crashes, std::chrono::milliseconds(entry.remainingMs)});
     }
@@ -101,6 +123,7 @@
     writeLoads(message, beat);
     writeUses(message, beat);
     writeCrashes(message, beat);
+    writeStages(message, beat);
     return toThriftBytes(message);
 }
 
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -99,6 +99,10 @@
         std::erase(m_byService[known.service], backend);
         m_byService[record.service].push_back(backend);
     }
+    if (known.stage != record.stage) {
+        backend->changingUntil = now;
+        backend->changedAt = now;
+    }
     known = record;
     return changed;
 }
@@ -156,6 +160,17 @@
     return found == m_all.end() ? nullptr : found->second;
 }
 
+std::vector<BackendPointer> BackendTable::ready(const ServiceId &service) const
+{
+    std::vector<BackendPointer> ready;
+    if (const auto found = m_byService.find(service); found != m_byService.end()) {
+        std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(ready), [](const BackendPointer &backend) {
+            return backend->record.state == BackendState::Ready;
+        });
+    }
+    return ready;
+}
+
 std::vector<BackendPointer> BackendTable::usable(const ServiceId &service, TimePoint now) const
 {
     std::vector<BackendPointer> ready;
@@ -166,7 +181,9 @@
     }
     for (const BackendPointer &backend : found->second) {
         if (backend->record.state == BackendState::Ready) {
-            ready.push_back(backend);
+            if (backend->changingUntil <= now) {
+                ready.push_back(backend);
+            }
         } else if (backend->record.state == BackendState::Gone && now - backend->goneSince < LapsedUse) {
             lapsed.push_back(backend);
         }
