Bound what grows with the nodes: readers of the store, beats, prefills

Ruled out: reading less of the servers' table: its rows change only when servers do. Change: two nodes a zone read the store, the others follow their beats and fetch newer rows only; a node's beats grow rarer with its peers; KV memory is offered to another engine when a run is declined, and only the first prefill is free.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -125,6 +125,8 @@
   15: required map<string, double> readRates
   /// Events a second that the sender has passed on to callers, by service.
   17: required map<string, double> eventRates
+  /// Whether the sender reads the platform's tables itself, and its last calls were answered.
+  18: required bool readsStore
   /// Engines that are being ordered to change their stage, and take no work meanwhile.
   16: required list<string> changing
 }
@@ -132,18 +134,25 @@
 /// Asks a front node for what it knows of the platform's tables.
 struct FleetSnapshotRequest {
   1: required string sender
+  /// Versions that the sender has; only newer rows are wanted.
+  2: required i64 planVersion
+  3: required i64 serversVersion
 }
 
 struct StoredRow {
   1: required string key
   2: required string text
+  3: required i64 version
+  4: required bool removed
 }
 
 /// The tables as a front node has read them last.
 struct FleetSnapshot {
   1: required i64 planVersion
+  /// Empty where the asker has it.
   2: required string plan
   3: required i64 serversVersion
+  /// Rows that are newer than what the asker has.
   4: required list<StoredRow> servers
   5: required list<StoredRow> nodes
 }
--- a/include/apricotarch/app/fleet_keeper.h
+++ b/include/apricotarch/app/fleet_keeper.h
@@ -75,7 +75,8 @@
     void heard(const std::string &bytes, const std::string &peer);
     void catchUpIfBehind(TimePoint now);
     [[nodiscard]] asio::awaitable<void> catchUp(Endpoint peer);
-    [[nodiscard]] FleetSnapshot snapshot() const;
+    [[nodiscard]] FleetSnapshot snapshot(const FleetSnapshotRequest &request) const;
+    [[nodiscard]] Duration beatPause(std::size_t peers) const;
     void takeOthersLoad();
     void housekeeping();
 
@@ -91,7 +92,7 @@
     RowVersion m_readPlan; ///< Version up to which the plan's table was read; 0 to read it whole.
     RowVersion m_readServers;
     std::string m_planText;
-    std::map<std::string, std::string> m_serverTexts;
+    std::map<std::string, StoredRow> m_serverRows; ///< Also removed ones, for peers that have not heard of it.
     std::map<std::string, std::string> m_nodeTexts;
     std::array<bool, 2> m_lost{}; ///< By table: whether the last call for it failed.
     std::optional<TimePoint> m_behindSince; ///< Since when peers have read newer rows than this node.
--- a/include/apricotarch/app/forwarder.h
+++ b/include/apricotarch/app/forwarder.h
@@ -81,7 +81,8 @@
     // ---- sending ----
 
     [[nodiscard]] asio::awaitable<void> sendUntilDone();
-    [[nodiscard]] asio::awaitable<std::optional<KvLocation>> prefill(const Placement &placement);
+    [[nodiscard]] asio::awaitable<void> prefill(const Placement &placement);
+    [[nodiscard]] bool payPrefill();
     [[nodiscard]] asio::awaitable<Attempt> attempt(BackendPointer backend, SendTerms terms, std::int64_t tokensToRead, Duration patience);
     [[nodiscard]] asio::awaitable<Attempt> follow(Sending &sending);
     [[nodiscard]] Attempt conclude(Sending &sending);
@@ -118,6 +119,9 @@
     std::set<ReplicaId> m_tried;
     EventReader m_events;
     ReplicaId m_lastServer;
+    std::optional<KvLocation> m_kv; ///< KV memory of the prompt that an engine keeps for this request.
+    ReplicaId m_kvEngine;
+    int m_prefills = 0; ///< That reached an engine.
     int m_sends = 0;
     bool m_mayHaveRun = false;
     bool m_answering = false;
--- a/include/apricotarch/coordination/front_peers.h
+++ b/include/apricotarch/coordination/front_peers.h
@@ -71,6 +71,13 @@
     /// Whether this node has the smallest name of those that are heard; it is the one to change stages.
     [[nodiscard]] bool isFirst(TimePoint now) const;
 
+    /**
+     * Whether this node reads the store itself: where it is among the first of its zone, or too few others read it. The others
+     * learn of changes from beats, so that the store's calls do not grow with the nodes.
+     * @param zone of this node
+     */
+    [[nodiscard]] bool readsStore(const ZoneId &zone, TimePoint now) const;
+
     /// A peer that has read a newer configuration or servers' table, if any. @param plan, servers as this node has read them
     [[nodiscard]] std::optional<Endpoint> ahead(RowVersion plan, RowVersion servers, TimePoint now) const;
 
--- a/include/apricotarch/protocol/front_codec.h
+++ b/include/apricotarch/protocol/front_codec.h
@@ -18,6 +18,10 @@
 /// @return the beat; MalformedMessage or InvalidField
 [[nodiscard]] Result<FrontBeat> decodeFrontBeat(std::string_view bytes, const std::string &peer);
 
+[[nodiscard]] std::string encodeFleetSnapshotRequest(const FleetSnapshotRequest &request);
+/// @return the request, or MalformedMessage
+[[nodiscard]] Result<FleetSnapshotRequest> decodeFleetSnapshotRequest(std::string_view bytes, const std::string &peer);
+
 [[nodiscard]] std::string encodeFleetSnapshot(const FleetSnapshot &snapshot);
 /// @return the snapshot, or MalformedMessage
 [[nodiscard]] Result<FleetSnapshot> decodeFleetSnapshot(std::string_view bytes, const std::string &peer);
--- a/include/apricotarch/state/front_beat.h
+++ b/include/apricotarch/state/front_beat.h
@@ -48,6 +48,7 @@
     std::vector<ServerLoad> loads;
     std::vector<PromptUse> uses;
     std::vector<CrashRecord> crashRecords;
+    bool readsStore = false; ///< Reads the platform's tables itself, and its last calls were answered.
     std::chrono::microseconds lag{0}; ///< How late the sender's timers fire.
     std::map<ServiceId, double> readRates; ///< Prompt tokens a millisecond that the sender has given engines to read.
     std::map<ServiceId, double> eventRates; ///< Events a millisecond that the sender has passed on to callers.
@@ -59,15 +60,23 @@
 {
     std::string key;
     std::string text;
-    RowVersion version; ///< 0 where a peer relayed it.
+    RowVersion version;
     bool removed = false;
 };
 
-/// The platform's tables as a node has read them last.
+/// Asks a node for rows that are newer than the asker's.
+struct FleetSnapshotRequest
+{
+    NodeId sender;
+    RowVersion planVersion;
+    RowVersion serversVersion;
+};
+
+/// The platform's tables as a node has read them last, as far as the asker does not have them.
 struct FleetSnapshot
 {
     RowVersion planVersion; ///< 0 where no configuration is known.
-    std::string plan;
+    std::string plan; ///< Empty where the asker has it.
     RowVersion serversVersion;
     std::vector<StoredRow> servers;
     std::vector<StoredRow> nodes;
--- a/src/app/fleet_keeper.cpp
+++ b/src/app/fleet_keeper.cpp
@@ -21,25 +21,31 @@
 constexpr Duration FeedWait = 4s;
 
 /// Pause after changes of the servers' table, so that several changes come with one call.
-constexpr Duration ChangesPause = 120ms;
+constexpr Duration ChangesPause = 250ms;
 
 /// A node that has been behind its peers for this long reads from one of them; the store itself is as fast as that.
 constexpr Duration BehindFor = 400ms;
 
 /// An engine takes no work for this long after a peer has said that it changes its stage; the peer repeats it meanwhile.
-constexpr Duration ChangingHeard = 600ms;
+constexpr Duration ChangingHeard = 1200ms;
+
+/// Between two looks of a node that does not read the store whether it has to.
+constexpr Duration FollowPause = 300ms;
 
 /// First and longest pause after a failed call of the store.
 constexpr Duration FirstRetry = 150ms;
 constexpr Duration LongestRetry = 600ms;
 
-/// Between two beats: well below the time after which a silent node is no longer listed.
-constexpr Duration BeatPause = 100ms;
+/// Between two beats: the more peers there are, the fewer beats each gets, down to a third of the time after which a silent
+/// node is no longer listed.
+constexpr Duration PausePerPeer = 6ms;
+constexpr Duration ShortestBeatPause = 100ms;
+constexpr Duration LongestBeatPause = 450ms;
 
 /// Between two looks at the nodes' table. New nodes send beats to all they know, so this only closes gaps.
-constexpr Duration NodesPause = 15s;
+constexpr Duration NodesPause = 60s;
 
-constexpr std::size_t HousekeepingBeats = 5;
+constexpr std::size_t HousekeepingBeats = 3;
 
 /// This system's own table, with one row for each node.
 constexpr const char *NodesTable = "apricotarch-nodes";
@@ -62,8 +68,12 @@
     const auto onDatagram = [this](const std::string &bytes, const std::string &peer) {
         heard(bytes, peer);
     };
-    const auto onRequest = [this](const std::string & /*bytes*/, const std::string & /*peer*/) {
-        return std::optional<std::string>(encodeFleetSnapshot(snapshot()));
+    const auto onRequest = [this](const std::string &bytes, const std::string &peer) -> std::optional<std::string> {
+        const Result<FleetSnapshotRequest> request = decodeFleetSnapshotRequest(bytes, peer);
+        if (!request) {
+            return std::nullopt;
+        }
+        return encodeFleetSnapshot(snapshot(*request));
     };
     Result<void> listening = m_link.listen(m_state.settings.peerAddress, onDatagram, onRequest);
     if (!listening) {
@@ -88,6 +98,13 @@
     RowVersion &version = table == Table::Plan ? m_readPlan : m_readServers;
     Duration pause = FirstRetry;
     while (true) {
+        if (!m_state.peers.readsStore(m_state.settings.zone, m_state.clock.now())) {
+            // The readers' beats tell of changes; the table is read from there on when this node reads again.
+            version = table == Table::Plan ? std::max(version, m_planVersion) : std::max(version, m_serversVersion);
+            m_lost.at(static_cast<std::size_t>(table)) = false;
+            co_await m_state.clock.sleep(FollowPause);
+            continue;
+        }
         const bool whole = version.value() == 0;
         const Result<RowBatch> batch = co_await readTable(table, pause > FirstRetry);
         noteStore(table, batch);
@@ -194,13 +211,17 @@
     const TimePoint now = m_state.clock.now();
     std::vector<BackendRecord> records;
     if (whole) {
-        m_serverTexts.clear();
+        for (auto &[key, row] : m_serverRows) {
+            if (!row.removed) {
+                row = {key, "", version, true}; // Unless it is among the rows.
+            }
+        }
     }
     for (const StoredRow &row : rows) {
         if (row.removed) {
             LogEvent("server.removed").field("server", row.key).field("row_version", row.version);
             m_state.backends.remove(ReplicaId(row.key), now);
-            m_serverTexts.erase(row.key);
+            m_serverRows[row.key] = row;
             continue;
         }
         Result<BackendRecord> record = m_formats.server(row.key, row.text);
@@ -209,7 +230,7 @@
             m_state.backends.remove(ReplicaId(row.key), now);
             continue;
         }
-        m_serverTexts[row.key] = row.text;
+        m_serverRows[row.key] = row;
         if (whole) {
             records.push_back(std::move(*record));
         } else if (m_state.backends.put(*record, now)) {
@@ -227,7 +248,7 @@
     }
     m_state.serversKnown = true;
     // Versions of rows are compared among nodes; the store's own version grows without any change of this table.
-    for (const StoredRow &row : rows) {
+    for (const auto &[key, row] : m_serverRows) {
         m_serversVersion = std::max(m_serversVersion, row.version);
     }
 }
@@ -287,8 +308,9 @@
 {
     std::size_t beats = 0;
     while (true) {
-        const TimePoint due = m_state.clock.now() + BeatPause;
-        co_await m_state.clock.sleep(BeatPause);
+        const Duration pause = beatPause(m_state.peers.count(m_state.clock.now()) - 1);
+        const TimePoint due = m_state.clock.now() + pause;
+        co_await m_state.clock.sleep(pause);
         const auto late = std::chrono::duration_cast<std::chrono::microseconds>(m_state.clock.now() - due);
         m_lag = (m_lag * 7 + late) / 8;
         sendBeat();
@@ -299,9 +321,15 @@
     }
 }
 
+Duration FleetKeeper::beatPause(std::size_t peers) const
+{
+    return std::clamp<Duration>(PausePerPeer * static_cast<int>(peers), ShortestBeatPause, LongestBeatPause);
+}
+
 FrontBeat FleetKeeper::makeBeat()
 {
     const FrontSettings &settings = m_state.settings;
+    const TimePoint now = m_state.clock.now();
     FrontBeat beat;
     beat.node = settings.node;
     beat.incarnation = m_incarnation;
@@ -314,13 +342,13 @@
     beat.planVersion = m_planVersion;
     beat.serversVersion = m_serversVersion;
     beat.lag = m_lag;
+    beat.readsStore = !m_lost[0] && !m_lost[1] && m_state.serversKnown && m_state.peers.readsStore(settings.zone, now);
     for (const auto &[id, backend] : m_state.backends.all()) {
         if (backend->own.requests > 0) {
             beat.loads.push_back({id, backend->own});
         }
     }
     beat.uses = std::exchange(m_state.uses, {});
-    const TimePoint now = m_state.clock.now();
     for (auto &[service, meter] : m_state.readRates) {
         beat.readRates[service] = meter.perMillisecond(now);
     }
@@ -388,7 +416,8 @@
     if (!m_behindSince) {
         m_behindSince = now;
     }
-    if (now - *m_behindSince >= BehindFor && !m_catchingUp) {
+    const bool follows = !m_state.peers.readsStore(m_state.settings.zone, now);
+    if ((follows || now - *m_behindSince >= BehindFor) && !m_catchingUp) {
         m_catchingUp = true;
         asio::co_spawn(m_state.executor, catchUp(*peer), asio::detached);
     }
@@ -396,17 +425,19 @@
 
 asio::awaitable<void> FleetKeeper::catchUp(Endpoint from)
 {
-    const Result<std::string> bytes = co_await m_link.ask(from, m_state.settings.node.value());
+    const RowVersion since = m_serversVersion;
+    std::string request = encodeFleetSnapshotRequest({m_state.settings.node, m_planVersion, since});
+    const Result<std::string> bytes = co_await m_link.ask(from, std::move(request));
     const Result<FleetSnapshot> told = bytes ? decodeFleetSnapshot(*bytes, from.text()) : Result<FleetSnapshot>(Failure(bytes.error()));
     if (!told) {
         LogEvent("peer.no_snapshot", LogEvent::Level::Warning).error(told.error());
     } else {
-        if (told->planVersion.value() > 0) {
+        if (!told->plan.empty()) {
             applyPlan(told->plan, told->planVersion, "peer");
         }
         if (told->serversVersion > m_serversVersion) {
-            applyServers(told->servers, told->serversVersion, true);
-            m_serversVersion = told->serversVersion;
+            applyServers(told->servers, told->serversVersion, since.value() == 0);
+            m_serversVersion = std::max(m_serversVersion, told->serversVersion);
             m_readServers = std::max(m_readServers, told->serversVersion);
         }
         for (const StoredRow &row : told->nodes) {
@@ -419,17 +450,22 @@
     m_catchingUp = false;
 }
 
-FleetSnapshot FleetKeeper::snapshot() const
+FleetSnapshot FleetKeeper::snapshot(const FleetSnapshotRequest &request) const
 {
     FleetSnapshot snapshot;
     snapshot.planVersion = m_planVersion;
-    snapshot.plan = m_planText;
+    snapshot.plan = request.planVersion < m_planVersion ? m_planText : std::string();
     snapshot.serversVersion = m_serversVersion;
-    for (const auto &[key, text] : m_serverTexts) {
-        snapshot.servers.push_back({key, text, RowVersion(), false});
+    const bool newcomer = request.serversVersion.value() == 0;
+    for (const auto &[key, row] : m_serverRows) {
+        if (row.version > request.serversVersion && !(newcomer && row.removed)) {
+            snapshot.servers.push_back(row);
+        }
     }
-    for (const auto &[key, text] : m_nodeTexts) {
-        snapshot.nodes.push_back({key, text, RowVersion(), false});
+    if (newcomer) {
+        for (const auto &[key, text] : m_nodeTexts) {
+            snapshot.nodes.push_back({key, text, RowVersion(), false});
+        }
     }
     return snapshot;
 }
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -299,44 +299,47 @@
 {
     while (!m_done) {
         const Placement placement = place();
-        if (!placement.run) {
-            m_tried.empty() ? refuse(RefusalReason::NoServer) : refuse(RefusalReason::ServersFull);
-            break;
-        }
-        if (m_sends == 0 && isHopeless(placement)) {
+        BackendPointer engine = placement.run;
+        if (engine && m_sends == 0 && isHopeless(placement)) {
             refuse(RefusalReason::Overloaded);
             break;
         }
-        std::optional<KvLocation> kv;
-        BackendPointer engine = placement.run;
-        if (placement.prefill) {
-            kv = co_await prefill(placement);
-            if (m_done) {
-                break;
-            }
-            if (!kv) {
+        if (engine && placement.prefill && !m_kv && payPrefill()) {
+            co_await prefill(placement);
+            if (m_done || !m_kv) {
                 continue;
             }
+        }
+        if (m_kv) {
             // Reading has taken its time: engines may have begun to leave meanwhile, and loads have changed.
-            engine = m_state.placer.placeRun(m_state.backends.usable(m_serviceId, m_state.clock.now()), m_tried, m_state.clock.now());
-            if (!engine) {
-                releaseKv(*kv, placement.prefill->record.id);
-                refuse(RefusalReason::NoServer);
-                break;
-            }
+            const TimePoint now = m_state.clock.now();
+            engine = m_state.placer.placeRun(m_state.backends.usable(m_serviceId, now), m_tried, now);
+        }
+        if (!engine) {
+            m_tried.empty() ? refuse(RefusalReason::NoServer) : refuse(RefusalReason::ServersFull);
+            break;
         }
         SendTerms terms;
-        terms.kvSource = kv;
+        terms.kvSource = m_kv;
         terms.lastEvent = m_events.lastId();
-        const std::int64_t toRead = kv ? 0 : placement.tokensToRead;
+        const std::int64_t toRead = m_kv ? 0 : placement.tokensToRead;
         const Attempt ended = co_await attempt(engine, std::move(terms), toRead, patience(placement));
-        if (kv && ended.end != AttemptEnd::Answered) {
-            releaseKv(*kv, placement.prefill->record.id);
+        if (ended.end != AttemptEnd::NotSent && ended.end != AttemptEnd::NotExecuted) {
+            m_kv.reset(); // Taken by the run, or lost with it.
         }
         if (ended.finished || !step(ended)) {
             break;
         }
     }
+    if (m_kv) {
+        releaseKv(*m_kv, m_kvEngine);
+    }
+}
+
+bool Forwarder::payPrefill()
+{
+    const TimePoint now = m_state.clock.now();
+    return m_prefills == 0 || m_state.budget.take(m_serviceId, m_state.peers.count(now), now);
 }
 
 bool Forwarder::step(const Attempt &attempt)
@@ -380,7 +383,7 @@
     return false;
 }
 
-asio::awaitable<std::optional<KvLocation>> Forwarder::prefill(const Placement &placement)
+asio::awaitable<void> Forwarder::prefill(const Placement &placement)
 {
     SendTerms terms;
     terms.prefillOnly = true;
@@ -388,14 +391,17 @@
     const bool mayHaveRunBefore = m_mayHaveRun;
     const Attempt ended = co_await attempt(placement.prefill, std::move(terms), placement.tokensToRead, LongestTime);
     m_mayHaveRun = mayHaveRunBefore; // A prefill runs nothing.
+    m_prefills += m_sends - sendsBefore;
     if (ended.finished) {
-        co_return std::nullopt;
+        co_return;
     }
     if (ended.end == AttemptEnd::Answered && ended.answer.success()) {
         const Result<PrefillReceipt> receipt = m_state.dialect.decodePrefill(ended.body, placement.prefill->record.address.text());
         if (receipt) {
-            m_sends = sendsBefore; // The first prefill that is accepted is no send of its own.
-            co_return KvLocation{placement.prefill->record.address, receipt->handle};
+            m_sends = sendsBefore; // A prefill that is accepted is no send of the request itself.
+            m_kv = KvLocation{placement.prefill->record.address, receipt->handle};
+            m_kvEngine = placement.prefill->record.id;
+            co_return;
         }
     }
     Attempt declined;
@@ -405,7 +411,6 @@
     if (!step(declined)) {
         m_done = true;
     }
-    co_return std::nullopt;
 }
 
 asio::awaitable<Forwarder::Attempt> Forwarder::attempt(
--- a/src/coordination/front_peers.cpp
+++ b/src/coordination/front_peers.cpp
@@ -5,6 +5,17 @@
 namespace apricotarch
 {
 
+namespace
+{
+
+/// Nodes of one availability zone that read the store, so that one may fail.
+constexpr std::size_t ReadersPerZone = 2;
+
+/// With fewer readers heard, every node reads the store itself.
+constexpr std::size_t LeastReaders = 2;
+
+} // namespace
+
 FrontPeers::FrontPeers(NodeId self, PeerTimes times)
     : m_self(std::move(self))
     , m_times(times)
@@ -108,6 +119,20 @@
     });
 }
 
+bool FrontPeers::readsStore(const ZoneId &zone, TimePoint now) const
+{
+    std::size_t before = 0;
+    std::size_t readers = 0;
+    for (const auto &[address, peer] : m_peers) {
+        if (!within(peer, m_times.listed, now) || peer.beat.leaving) {
+            continue;
+        }
+        before += peer.beat.zone == zone && peer.beat.node < m_self ? 1 : 0;
+        readers += peer.beat.readsStore ? 1 : 0;
+    }
+    return before < ReadersPerZone || readers < LeastReaders;
+}
+
 std::optional<Endpoint> FrontPeers::ahead(RowVersion plan, RowVersion servers, TimePoint now) const
 {
     const FrontPeer *best = nullptr;
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -93,6 +93,8 @@
         wire::StoredRow message;
         message.key = row.key;
         message.text = row.text;
+        message.version = row.version.value();
+        message.removed = row.removed;
         messages.push_back(std::move(message));
     }
 }
@@ -100,7 +102,7 @@
 void readRows(std::vector<StoredRow> &rows, std::vector<wire::StoredRow> &messages)
 {
     for (wire::StoredRow &message : messages) {
-        rows.push_back({std::move(message.key), std::move(message.text), RowVersion(), false});
+        rows.push_back({std::move(message.key), std::move(message.text), RowVersion(message.version), message.removed});
     }
 }
 
@@ -120,6 +122,7 @@
     message.planVersion = beat.planVersion.value();
     message.serversVersion = beat.serversVersion.value();
     message.lagMicros = beat.lag.count();
+    message.readsStore = beat.readsStore;
     writeLoads(message, beat);
     writeUses(message, beat);
     writeCrashes(message, beat);
@@ -149,11 +152,30 @@
     beat.leaving = message->leaving;
     beat.planVersion = RowVersion(message->planVersion);
     beat.serversVersion = RowVersion(message->serversVersion);
+    beat.readsStore = message->readsStore;
     beat.lag = std::chrono::microseconds(message->lagMicros);
     readLists(beat, *message);
     return beat;
 }
 
+std::string encodeFleetSnapshotRequest(const FleetSnapshotRequest &request)
+{
+    wire::FleetSnapshotRequest message;
+    message.sender = request.sender.value();
+    message.planVersion = request.planVersion.value();
+    message.serversVersion = request.serversVersion.value();
+    return toThriftBytes(message);
+}
+
+Result<FleetSnapshotRequest> decodeFleetSnapshotRequest(std::string_view bytes, const std::string &peer)
+{
+    const auto message = fromThriftBytes<wire::FleetSnapshotRequest>(bytes, "fleet_snapshot_request.decode", peer);
+    if (!message) {
+        return Failure(message.error());
+    }
+    return FleetSnapshotRequest{NodeId(message->sender), RowVersion(message->planVersion), RowVersion(message->serversVersion)};
+}
+
 std::string encodeFleetSnapshot(const FleetSnapshot &snapshot)
 {
     wire::FleetSnapshot message;
