--- a/src/app/fleet_keeper.cpp
+++ b/src/app/fleet_keeper.cpp
@@ -117,7 +117,7 @@
             }
             continue;
         }
-        if (batch.error().id == ErrorId::HistoryDropped) {
+        if (batch.error().id == ErrorId::HistoryDropped && !whole) {
             version = RowVersion();
             continue;
         }
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -324,8 +324,9 @@
         terms.lastEvent = m_events.lastId();
         const std::int64_t toRead = m_kv ? 0 : placement.tokensToRead;
         const Attempt ended = co_await attempt(engine, std::move(terms), toRead, patience(placement));
-        if (ended.end != AttemptEnd::NotSent && ended.end != AttemptEnd::NotExecuted) {
-            m_kv.reset(); // Taken by the run, or lost with it.
+        const bool full = engine->load().requests >= engine->record.slots;
+        if (ended.end != AttemptEnd::NotSent && !(ended.end == AttemptEnd::NotExecuted && full)) {
+            m_kv.reset(); // Taken by the run, lost with it, or lapsed: an engine with places free declines for no other reason.
         }
         if (ended.finished || !step(ended)) {
             break;
