Let front nodes that start together find each other

Cause: a node read the nodes' table, then wrote its own row, and read again only after a minute. Of nodes that start together, each may have read before the other's row was there.

Ruled out: rare beats (beats each 20 ms changed nothing before this change), and lost datagrams (only pairs without a seed missed each other, and those always).

Change: a node that has written its row reads the table again, and each beat names three nodes that its sender hears, in turn, so that nodes come to know each other also after long cuts. Both tests failed before.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -129,6 +129,8 @@
   18: required bool readsStore
   /// Engines that are being ordered to change their stage, and take no work meanwhile.
   16: required list<string> changing
+  /// Addresses for beats of a few other nodes that the sender hears, in turn, so that all come to know each other.
+  19: required list<string> acquaintances
 }
 
 /// Asks a front node for what it knows of the platform's tables.
--- a/include/apricotarch/app/fleet_keeper.h
+++ b/include/apricotarch/app/fleet_keeper.h
@@ -65,7 +65,13 @@
     void noteStore(Table table, const Result<RowBatch> &result);
     [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
     [[nodiscard]] asio::awaitable<void> registerNode();
-    [[nodiscard]] asio::awaitable<Result<void>> registerOnce();
+    /// Whether this node's row was there already.
+    enum class Registration : std::uint8_t {
+        Found,
+        Written,
+    };
+
+    [[nodiscard]] asio::awaitable<Result<Registration>> registerOnce();
 
     // ---- other nodes ----
 
--- a/include/apricotarch/coordination/front_peers.h
+++ b/include/apricotarch/coordination/front_peers.h
@@ -62,6 +62,12 @@
     /// Where beats go.
     [[nodiscard]] std::vector<Endpoint> beatAddresses(TimePoint now) const;
 
+    /**
+     * Addresses of a few nodes that are heard, other ones with each call, to be told to others: nodes that start together
+     * or were cut off for long may know each other from nowhere else. Constant in number, linear in the peers to find.
+     */
+    [[nodiscard]] std::vector<Endpoint> acquaintances(TimePoint now);
+
     /// Work at each backend server that other nodes told of and that still counts.
     [[nodiscard]] std::map<ReplicaId, BackendLoad> othersLoad(TimePoint now) const;
 
@@ -90,6 +96,7 @@
     NodeId m_self;
     PeerTimes m_times;
     std::map<Endpoint, FrontPeer> m_peers;
+    Endpoint m_lastTold; ///< Last address given by acquaintances().
 };
 
 } // namespace apricotarch
--- a/include/apricotarch/state/front_beat.h
+++ b/include/apricotarch/state/front_beat.h
@@ -53,6 +53,7 @@
     std::map<ServiceId, double> readRates; ///< Prompt tokens a millisecond that the sender has given engines to read.
     std::map<ServiceId, double> eventRates; ///< Events a millisecond that the sender has passed on to callers.
     std::vector<ReplicaId> changing; ///< Engines that the sender orders to change their stage; they take no work meanwhile.
+    std::vector<Endpoint> acquaintances; ///< Addresses for beats of a few other nodes that the sender hears.
 };
 
 /// A row of one of the platform's tables, in the platform's format.
--- a/src/app/fleet_keeper.cpp
+++ b/src/app/fleet_keeper.cpp
@@ -257,11 +257,13 @@
 {
     Duration pause = FirstRetry;
     while (true) {
-        const Result<void> done = co_await registerOnce();
+        const Result<Registration> done = co_await registerOnce();
         if (done) {
             pause = FirstRetry;
-            co_await m_state.clock.sleep(NodesPause);
-            continue;
+            if (*done == Registration::Found) {
+                co_await m_state.clock.sleep(NodesPause);
+            }
+            continue; // A node that registered between this one's reading and its writing is seen by reading again.
         }
         LogEvent("node.not_registered", LogEvent::Level::Warning).error(done.error());
         co_await m_state.clock.sleep(pause);
@@ -269,7 +271,7 @@
     }
 }
 
-asio::awaitable<Result<void>> FleetKeeper::registerOnce()
+asio::awaitable<Result<FleetKeeper::Registration>> FleetKeeper::registerOnce()
 {
     const Result<RowBatch> nodes = co_await m_tables.readTable(NodesTable);
     if (!nodes) {
@@ -292,14 +294,14 @@
         }
     }
     if (registered || m_state.leaving) {
-        co_return Result<void>();
+        co_return Registration::Found;
     }
     RowWrite write{{NodesTable, m_state.settings.node.value()}, ownVersion, self, std::nullopt};
     const Result<RowVersion> written = co_await m_rows.write(std::move(write));
     if (!written) {
         co_return Failure(written.error());
     }
-    co_return Result<void>();
+    co_return Registration::Written;
 }
 
 // ---- other nodes ----
@@ -361,6 +363,7 @@
     for (const auto &[engine, until] : m_state.changing) {
         beat.changing.push_back(engine);
     }
+    beat.acquaintances = m_state.peers.acquaintances(now);
     beat.crashRecords = m_state.crashes.ownRecords(m_state.clock.now());
     return beat;
 }
@@ -390,6 +393,11 @@
         m_state.metrics.increment(CounterFamily::Peers, "beat_repeated");
         return;
     }
+    for (const Endpoint &address : beat->acquaintances) {
+        if (address != m_state.settings.peerAddress) {
+            m_state.peers.introduce(address, now);
+        }
+    }
     for (const PromptUse &use : beat->uses) {
         if (const BackendPointer engine = m_state.backends.find(use.replica)) {
             engine->cache.use(use.prompt);
--- a/src/coordination/front_peers.cpp
+++ b/src/coordination/front_peers.cpp
@@ -11,6 +11,9 @@
 /// Nodes of one availability zone that read the store, so that one may fail.
 constexpr std::size_t ReadersPerZone = 2;
 
+/// Addresses told with each beat: with 69 nodes and a beat each 0.4 s, one node's rotation takes 10 s and everyone hears 68.
+constexpr std::size_t AcquaintancesTold = 3;
+
 /// With fewer readers heard, every node reads the store itself.
 constexpr std::size_t LeastReaders = 2;
 
@@ -84,6 +87,23 @@
     return addresses;
 }
 
+std::vector<Endpoint> FrontPeers::acquaintances(TimePoint now)
+{
+    std::vector<Endpoint> addresses;
+    auto entry = m_peers.upper_bound(m_lastTold);
+    for (std::size_t looked = 0; looked < m_peers.size() && addresses.size() < AcquaintancesTold; ++looked) {
+        if (entry == m_peers.end()) {
+            entry = m_peers.begin();
+        }
+        if (within(entry->second, m_times.listed, now) && !entry->second.beat.leaving) {
+            addresses.push_back(entry->first);
+            m_lastTold = entry->first;
+        }
+        ++entry;
+    }
+    return addresses;
+}
+
 std::map<ReplicaId, BackendLoad> FrontPeers::othersLoad(TimePoint now) const
 {
     std::map<ReplicaId, BackendLoad> loads;
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -60,6 +60,13 @@
     }
 }
 
+void writeAcquaintances(wire::FrontBeat &message, const FrontBeat &beat)
+{
+    for (const Endpoint &address : beat.acquaintances) {
+        message.acquaintances.push_back(address.text());
+    }
+}
+
 void readLists(FrontBeat &beat, const wire::FrontBeat &message)
 {
     for (const wire::ServerLoad &entry : message.loads) {
@@ -82,6 +89,11 @@
     for (const std::string &engine : message.changing) {
         beat.changing.emplace_back(engine);
     }
+    for (const std::string &text : message.acquaintances) {
+        if (const Result<Endpoint> address = parseEndpoint(text)) {
+            beat.acquaintances.push_back(*address);
+        }
+    }
     for (const wire::CrashRecord &entry : message.crashRecords) {
         beat.crashRecords.push_back({ContentHash(entry.contentHash), entry.crashes, std::chrono::milliseconds(entry.remainingMs)});
     }
@@ -127,6 +139,7 @@
     writeUses(message, beat);
     writeCrashes(message, beat);
     writeStages(message, beat);
+    writeAcquaintances(message, beat);
     return toThriftBytes(message);
 }
 
--- a/tests/src/unit-fleet_keeper.cpp
+++ b/tests/src/unit-fleet_keeper.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 #include <boost/test/unit_test.hpp>
 
 #include "apricotarch/app/fleet_keeper.h"
@@ -61,11 +65,17 @@
         co_return std::optional<Row>();
     }
 
-    asio::awaitable<Result<RowVersion>> write(RowWrite /*write*/) override
+    asio::awaitable<Result<RowVersion>> write(RowWrite write) override
     {
+        if (beforeWrite) {
+            std::exchange(beforeWrite, nullptr)();
+        }
+        rows[write.key.table].push_back({write.key.key, write.text, version, false});
         co_return version;
     }
 
+    std::function<void()> beforeWrite; ///< What another node does in the meantime, once.
+
     std::map<std::string, std::vector<StoredRow>> rows;
     std::map<std::string, ErrorId> failing; ///< By table.
     std::map<std::string, int> wholeReads;
@@ -240,6 +250,41 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(nodes)
+
+BOOST_AUTO_TEST_CASE(that_register_at_the_same_time_know_each_other)
+{
+    // Found on the bench: of nodes that start together each had read the table before the other's row was in it, and then not
+    // again for a minute. Neither saw the other's load, and both sent prompts to engines that were busy for a second.
+    Stage stage;
+    Node node(stage.workers, stage.clock, stage.peerPort, "c", "127.0.0.3");
+    const Endpoint other{"127.0.0.4", stage.peerPort};
+    node.tables.beforeWrite = [&] {
+        node.tables.rows["apricotarch-nodes"].push_back(row("d", other.text().c_str(), 2));
+    };
+    stage.pass(1s);
+    const std::vector<Endpoint> known = node.state.peers.beatAddresses(stage.clock.now());
+    BOOST_TEST(std::count(known.begin(), known.end(), other) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(learn_of_each_other_from_a_third_one)
+{
+    // Seeds are 127.0.0.1 and 127.0.0.2; the stores of these nodes tell nothing of the others.
+    Stage stage;
+    Node seed(stage.workers, stage.clock, stage.peerPort, "a", "127.0.0.1");
+    Node third(stage.workers, stage.clock, stage.peerPort, "c", "127.0.0.3");
+    Node fourth(stage.workers, stage.clock, stage.peerPort, "d", "127.0.0.4");
+    for (int second = 0; second < 5; ++second) {
+        stage.pass(1s);
+    }
+    for (const auto &[one, other] : {std::pair(&third, &fourth), std::pair(&fourth, &third)}) {
+        const std::vector<Endpoint> known = one->state.peers.beatAddresses(stage.clock.now());
+        BOOST_TEST(std::count(known.begin(), known.end(), other->state.settings.peerAddress) == 1);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(an_unreadable_entry_names_no_server_and_leaves_the_others)
 {
     Stage stage;
