Let nodes that the electorate leaves out join it at once

The electorate was looked at every 5 s and by the lease's holder only.

Change: each node looks every 0.5 s whether the accepted row names it, without a call of the store, and joins the electorate through the same offer and conditional write if not. The new test failed before.

--- a/include/apricotarch/app/node.h
+++ b/include/apricotarch/app/node.h
@@ -90,6 +90,7 @@
     [[nodiscard]] asio::awaitable<void> beatRound();
     [[nodiscard]] asio::awaitable<void> configurationRound();
     [[nodiscard]] asio::awaitable<void> electorateRound();
+    int m_electorateRounds = 0; ///< Since the last look of the lease's holder.
     [[nodiscard]] asio::awaitable<void> leaseRound();
     [[nodiscard]] asio::awaitable<void> cellRound();
     [[nodiscard]] asio::awaitable<void> vmListRound();
--- a/include/apricotarch/coordination/configuration_keeper.h
+++ b/include/apricotarch/coordination/configuration_keeper.h
@@ -104,6 +104,9 @@
      */
     [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> accept(Configuration configuration, ConfigurationVersion base);
 
+    /// Whether a configuration is accepted whose electorate this process is not in, so that it could not help to accept another.
+    [[nodiscard]] bool isLeftOut() const;
+
     /// Writes the members heard now into the row's electorate, where they differ from it.
     [[nodiscard]] asio::awaitable<void> refreshElectorate();
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -20,7 +20,9 @@
 constexpr double RetryReserve = 50;
 constexpr std::chrono::milliseconds BeatPause{500};
 constexpr std::chrono::milliseconds ConfigurationPause{500};
-constexpr std::chrono::milliseconds ElectoratePause{5000};
+constexpr std::chrono::milliseconds ElectoratePause{500};
+/// Rounds between two looks at an electorate that this node is in: it reads the row, and members seldom change.
+constexpr int RoundsPerElectorateLook = 10;
 constexpr std::chrono::milliseconds CellPause{500};
 constexpr std::chrono::milliseconds VmListPause{1000};
 constexpr std::chrono::milliseconds LoadPause{100};
@@ -192,7 +194,10 @@
 
 asio::awaitable<void> Node::electorateRound()
 {
-    if (m_lease.authority() && !m_draining) {
+    m_electorateRounds = (m_electorateRounds + 1) % RoundsPerElectorateLook;
+    const bool looks = m_lease.authority() && m_electorateRounds == 0;
+    // An electorate of the few nodes that the accepting one had heard would be lost with them.
+    if (!m_draining && (looks || m_configuration.isLeftOut())) {
         co_await m_configuration.refreshElectorate();
     }
 }
--- a/src/coordination/configuration_keeper.cpp
+++ b/src/coordination/configuration_keeper.cpp
@@ -480,6 +480,16 @@
     co_return accepted;
 }
 
+bool ConfigurationKeeper::isLeftOut() const
+{
+    const AdoptionView known = view();
+    if (!known.committed) {
+        return false;
+    }
+    const std::vector<Elector> &electorate = known.committed->row.electorate;
+    return std::ranges::find(electorate, Elector{m_self.node, m_self.incarnation}) == electorate.end();
+}
+
 asio::awaitable<void> ConfigurationKeeper::refreshElectorate()
 {
     const auto row = co_await readRow();
--- a/tests/fakes/configuration_cluster.h
+++ b/tests/fakes/configuration_cluster.h
@@ -80,6 +80,7 @@
     FakeObjects objects;
     Cuts cuts;
     bool outage = false;
+    bool joinsElectorates = false; ///< Whether nodes that are left out of the electorate join it, as the program's rounds do.
     std::set<std::string> withoutStore; ///< Nodes that cannot reach the store.
 
     explicit ConfigurationCluster(std::size_t count)
@@ -118,6 +119,9 @@
         while (bench.clock.now() < end) {
             for (const auto &node : m_nodes) {
                 bench.run(node->keeper.poll());
+                if (joinsElectorates && node->keeper.isLeftOut()) {
+                    bench.run(node->keeper.refreshElectorate());
+                }
                 beat(*node);
             }
             bench.pass(std::chrono::milliseconds(500));
--- a/tests/src/unit-configuration.cpp
+++ b/tests/src/unit-configuration.cpp
@@ -239,6 +239,23 @@
     BOOST_TEST((cluster.node(0).keeper.claim().offerBase == RowVersion()));
 }
 
+BOOST_AUTO_TEST_CASE(is_accepted_after_the_first_accepting_node_is_lost_that_had_heard_no_other)
+{
+    // Found by the demo: the first configuration was accepted before the nodes had heard each other, so its electorate was one
+    // node; that node was killed within five seconds, and no change could be accepted any more.
+    ConfigurationCluster cluster(3);
+    cluster.joinsElectorates = true;
+    BOOST_REQUIRE(cluster.accept(0, smallConfiguration("one"), 0).has_value());
+    cluster.live(2s);
+    for (const char *other : {"node-1", "node-2"}) {
+        cluster.cuts.cut("node-0", other);
+        cluster.cuts.cut(other, "node-0");
+    }
+    cluster.withoutStore = {"node-0"};
+    cluster.live(4s);
+    BOOST_TEST(cluster.accept(1, smallConfiguration("two"), 1).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(left_behind_is_withdrawn_through_the_store)
 {
     Settled cluster;
