Split the forwarder into deciding, sending and answering

Cause: src/app/forwarder.cpp had grown to 790 lines with three jobs, and one small call on a pooled connection stood twice (freeing KV memory; orders and reports of engines).

Change: CallerAnswer writes to the caller's connection, forwarder_sending.cpp holds one send, front_refusal.h the reasons and their forms as a table, attempt_policy the names as tables, and callBackend makes the small calls of both. Fields and names that nothing read are gone (OutOfMemory, AttemptFacts::kind, BackendAnswer::replica); the test that set `kind` asserts the same as before.

--- a/include/apricotarch/app/forwarder.h
+++ b/include/apricotarch/app/forwarder.h
@@ -10,8 +10,10 @@
 #include <set>
 #include <string>
 
+#include "apricotarch/app/caller_answer.h"
 #include "apricotarch/app/front_state.h"
 #include "apricotarch/coordination/attempt_policy.h"
+#include "apricotarch/coordination/front_refusal.h"
 #include "apricotarch/transport/backend_channel.h"
 #include "apricotarch/transport/caller_connection.h"
 #include "apricotarch/transport/event_reader.h"
@@ -19,24 +21,8 @@
 namespace apricotarch
 {
 
-/// Why a request got no answer from a backend server.
-enum class RefusalReason : std::uint8_t {
-    NoConfiguration,
-    NoRoute,
-    NoServer,
-    TooLate, ///< It cannot be served within its time.
-    Convicted, ///< Its content has crashed backend servers.
-    ServersFull, ///< Every server that may be asked has declined.
-    Overloaded, ///< It would wait for longer than it is worth.
-    OutOfMemory, ///< The node holds too many bodies already.
-};
-
-/// What the caller's connection allows.
-struct CallerTerms
-{
-    bool keepAlive = true; ///< The caller wants to use its connection again.
-    bool readsChunks = true; ///< It can read an answer in chunks.
-};
+/// Longest time that a request waits where neither caller nor route sets one; also stands for patience without an end.
+constexpr Duration LongestRequestTime = std::chrono::seconds(60);
 
 /// Serves one request. Lives as long as its coroutine.
 class Forwarder
@@ -90,13 +76,11 @@
     [[nodiscard]] Attempt giveUp(Sending &sending);
     void progress(Sending &sending);
     void passEvents(Sending &sending);
-    void releaseKv(const KvLocation &location, const ReplicaId &replica);
+    void releaseKv();
     [[nodiscard]] bool step(const Attempt &attempt);
 
     // ---- answering ----
 
-    void beginStream(const BackendAnswer &answer);
-    void endStream();
     void deliver(const Attempt &attempt);
     void refuse(RefusalReason reason);
     void answerOwn(int status, std::string_view reason, std::optional<Duration> retryAfter);
@@ -104,13 +88,13 @@
     void finish(int status, std::string_view outcome);
     void outOfTime();
     void callerLeft();
-    void appendConnectionLine(std::string &message);
     [[nodiscard]] std::chrono::milliseconds timeLeft() const;
 
     FrontState &m_state;
     CallerConnection &m_caller;
     CallerRequest m_request;
     std::shared_ptr<const RoutingPlan> m_plan;
+    CallerAnswer m_answer;
     const Route *m_route = nullptr;
     const RoutedService *m_service = nullptr;
     ServiceId m_serviceId;
@@ -124,9 +108,7 @@
     int m_prefills = 0; ///< That reached an engine.
     int m_sends = 0;
     bool m_mayHaveRun = false;
-    bool m_answering = false;
     bool m_done = false;
-    CallerTerms m_terms;
     std::optional<TimePoint> m_firstEventAt;
     TimePoint m_lastEventAt; ///< Valid once m_firstEventAt is.
     Duration m_longestGap{0}; ///< Between two events passed on.
--- a/include/apricotarch/app/stage_keeper.h
+++ b/include/apricotarch/app/stage_keeper.h
@@ -14,6 +14,7 @@
 #include "apricotarch/coordination/stage_order.h"
 #include "apricotarch/coordination/stage_planner.h"
 #include "apricotarch/state/decision_log.h"
+#include "apricotarch/transport/backend_call.h"
 
 namespace apricotarch
 {
@@ -53,13 +54,7 @@
     [[nodiscard]] asio::awaitable<void> orderUnderLease(BackendPointer engine, EngineStage stage);
     [[nodiscard]] asio::awaitable<Result<EngineReport>> readReport(BackendPointer engine);
 
-    /// Answer of an engine; status 0 for none.
-    struct EngineAnswer
-    {
-        int status = 0;
-        std::string body;
-    };
-    [[nodiscard]] asio::awaitable<EngineAnswer> exchange(BackendPointer engine, std::string message);
+    [[nodiscard]] asio::awaitable<BackendCallAnswer> exchange(const BackendPointer &engine, std::string message);
     void callOff(Backend &engine);
     [[nodiscard]] StageDemand demandOf(const ServiceId &service, TimePoint now);
 
--- a/include/apricotarch/coordination/attempt_policy.h
+++ b/include/apricotarch/coordination/attempt_policy.h
@@ -34,7 +34,6 @@
 /// What is known when a send has ended.
 struct AttemptFacts
 {
-    RouteKind kind = RouteKind::Unsafe;
     bool idempotent = false; ///< May run more than once.
     int sends = 0; ///< That reached a server, this one included.
     int maxAttempts = 1;
@@ -43,6 +42,10 @@
     bool anotherServer = false; ///< Whether there is a server that has not had the request.
 };
 
+/// Names for logs and counters.
+[[nodiscard]] const char *attemptEndName(AttemptEnd end) noexcept;
+[[nodiscard]] const char *nextStepName(NextStep next) noexcept;
+
 /// Whether another send counts against the retry budget.
 [[nodiscard]] constexpr bool costsBudget(AttemptEnd end) noexcept
 {
--- a/include/apricotarch/transport/backend_dialect.h
+++ b/include/apricotarch/transport/backend_dialect.h
@@ -71,7 +71,6 @@
     std::string reason;
     HttpHeaders passed; ///< Header lines that go on to the caller unchanged.
     std::optional<RequestId> request; ///< Whom it answers, where it says so.
-    std::optional<ReplicaId> replica; ///< Who answers, where it says so.
     bool notExecuted = false; ///< The server vouches that it has not run the request.
     bool sealed = false; ///< It bears the server's signature.
     bool events = false; ///< The body is a series of events.
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -1,9 +1,7 @@
 #include "apricotarch/app/forwarder.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
-#include <cstdio>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -12,6 +10,7 @@
 
 #include "apricotarch/base/hash.h"
 #include "apricotarch/base/log.h"
+#include "apricotarch/transport/backend_call.h"
 
 namespace apricotarch
 {
@@ -21,158 +20,23 @@
 
 using namespace std::chrono_literals;
 
-/// A connection within a desk's region is made in a few milliseconds; a lost packet is sent again after a second.
-constexpr Duration ConnectTimeout = 300ms;
+/// A call that frees KV memory takes a round trip; the memory lapses by itself within seconds.
+constexpr Duration ReleaseTimeout = 1s;
 
 /// An answer is due this much before the caller's own timer ends, so that it still arrives.
 constexpr Duration AnswerAhead = 15ms;
 
-/// Longest time that a request waits where neither caller nor route sets one.
-constexpr Duration LongestTime = 60s;
-
-/// A server that has sent nothing for this long while it has a request may be gone without a trace.
-constexpr Duration SilentFor = 1200ms;
-
 /// Share of the time left after which an idempotent request is sent elsewhere.
 constexpr double PatienceShare = 0.4;
 
-/// A connection that breaks sooner than this was closed before the server read the request.
-constexpr Duration CrashAfter = 5ms;
-
-/// Least priority that a server knows; 0 is the most urgent.
-constexpr int LeastPriority = 9;
-
-/// What a refusal says, and when it may be repeated.
-struct RefusalForm
-{
-    int status;
-    const char *reason;
-    bool retry;
-};
-
-RefusalForm formOf(RefusalReason reason)
-{
-    switch (reason) {
-    case RefusalReason::NoConfiguration:
-        return {503, "no_configuration", true};
-    case RefusalReason::NoRoute:
-        return {404, "no_route", false};
-    case RefusalReason::NoServer:
-        return {503, "no_server", true};
-    case RefusalReason::TooLate:
-        return {503, "too_late", true};
-    case RefusalReason::Convicted:
-        return {503, "content_crashes_servers", true};
-    case RefusalReason::ServersFull:
-        return {503, "servers_full", true};
-    case RefusalReason::Overloaded:
-        return {503, "overloaded", true};
-    case RefusalReason::OutOfMemory:
-        return {503, "node_memory", true};
-    }
-    return {503, "unknown", true};
-}
-
-const char *endName(AttemptEnd end)
-{
-    switch (end) {
-    case AttemptEnd::Answered:
-        return "answered";
-    case AttemptEnd::ServerError:
-        return "server_error";
-    case AttemptEnd::NotSent:
-        return "not_sent";
-    case AttemptEnd::NotExecuted:
-        return "not_executed";
-    case AttemptEnd::Broken:
-        return "broken";
-    case AttemptEnd::Silent:
-        return "silent";
-    }
-    return "unknown";
-}
-
-const char *nextName(NextStep next)
-{
-    switch (next) {
-    case NextStep::Deliver:
-        return "deliver";
-    case NextStep::TryAnother:
-        return "try_another";
-    case NextStep::Refuse:
-        return "refuse";
-    case NextStep::Fail:
-        return "fail";
-    case NextStep::Abort:
-        return "abort";
-    }
-    return "unknown";
-}
-
-std::string chunk(std::string_view bytes)
-{
-    std::array<char, 24> size{};
-    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    std::string text(size.data(), static_cast<std::size_t>(length));
-    text += bytes;
-    text += "\r\n";
-    return text;
-}
-
-std::string statusLine(int status, std::string_view reason)
-{
-    return "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason) + "\r\n";
-}
-
 } // namespace
 
-/// One send to one server. Takes the work off the server's load when it ends.
-struct Forwarder::Sending
-{
-    Sending(FrontState &node, BackendPointer server, std::int64_t tokens)
-        : state(node)
-        , backend(std::move(server))
-        , tokensToRead(tokens)
-    {
-        backend->own.requests += 1;
-        backend->own.promptTokens += tokensToRead;
-        state.loadChanged(*backend, tokensToRead);
-    }
-    Sending(const Sending &) = delete;
-    Sending &operator=(const Sending &) = delete;
-    ~Sending()
-    {
-        promptRead();
-        backend->own.requests -= 1;
-    }
-
-    /// Notes that the server has read the prompt.
-    void promptRead()
-    {
-        const std::int64_t read = std::exchange(tokensToRead, 0);
-        backend->own.promptTokens -= read;
-        state.loadChanged(*backend, read);
-    }
-
-    FrontState &state;
-
-    BackendPointer backend;
-    std::int64_t tokensToRead;
-    BackendChannel::Pointer channel;
-    std::optional<BackendAnswer> answer;
-    bool prefillOnly = false;
-    bool relaysEvents = false;
-    TimePoint begunAt;
-    TimePoint until; ///< When another server is tried.
-    TimePoint heardAt; ///< When the last bytes came.
-};
-
 Forwarder::Forwarder(FrontState &state, CallerConnection &caller, CallerRequest request, CallerTerms terms)
     : m_state(state)
     , m_caller(caller)
     , m_request(std::move(request))
     , m_plan(state.plan)
-    , m_terms(terms)
+    , m_answer(caller, terms, state.leaving, m_request.method == "HEAD")
 {
     ++m_state.activeRequests;
     m_state.bufferedBytes += m_request.body.size();
@@ -189,7 +53,7 @@
     if (!refuseEarly()) {
         co_await sendUntilDone();
     }
-    co_return m_terms.keepAlive && !m_state.leaving && !m_caller.ended();
+    co_return m_answer.keepsConnection();
 }
 
 // ---- deciding ----
@@ -208,7 +72,7 @@
     m_serviceId = chooseService();
     m_service = m_plan->service(m_serviceId);
     m_content = contentHash(m_request.host + m_request.target + '\n' + m_request.body);
-    Duration time = m_request.timeLimit ? Duration(*m_request.timeLimit) : LongestTime;
+    Duration time = m_request.timeLimit ? Duration(*m_request.timeLimit) : LongestRequestTime;
     if (m_route->timeout.count() > 0) {
         time = std::min<Duration>(time, m_route->timeout);
     }
@@ -269,12 +133,11 @@
 AttemptFacts Forwarder::facts() const
 {
     AttemptFacts facts;
-    facts.kind = m_route->kind;
     facts.idempotent = m_route->idempotent();
     facts.sends = m_sends;
     facts.maxAttempts = m_route->maxAttempts;
     facts.mayHaveRun = m_mayHaveRun;
-    facts.answering = m_answering;
+    facts.answering = m_answer.begun();
     const auto servers = m_state.backends.usable(m_serviceId, m_state.clock.now());
     facts.anotherServer = std::any_of(servers.begin(), servers.end(), [this](const BackendPointer &server) {
         return !m_tried.contains(server->record.id);
@@ -285,7 +148,7 @@
 Duration Forwarder::patience(const Placement &placement) const
 {
     if (!m_route->idempotent() || m_sends + 1 >= m_route->maxAttempts) {
-        return LongestTime;
+        return LongestRequestTime;
     }
     const Duration share = std::chrono::duration_cast<Duration>(PatienceShare * (m_deadline - m_state.clock.now()));
     if (m_route->kind == RouteKind::Safe) {
@@ -344,7 +207,7 @@
         }
     }
     if (m_kv) {
-        releaseKv(*m_kv, m_kvEngine);
+        releaseKv();
     }
 }
 
@@ -358,7 +221,7 @@
 {
     const AttemptFacts known = facts();
     NextStep next = nextStep(attempt.end, known);
-    if (next == NextStep::Deliver && m_answering && !attempt.answer.success()) {
+    if (next == NextStep::Deliver && m_answer.begun() && !attempt.answer.success()) {
         next = NextStep::Abort; // The server that should have continued the stream has answered something else.
     }
     const bool paid = m_sends > 0;
@@ -369,15 +232,15 @@
     }
     if (attempt.end != AttemptEnd::Answered) {
         LogEvent event("request.attempt_failed");
-        event.field("request", m_request.id).field("server", m_lastServer).field("end", endName(attempt.end));
-        event.field("status", attempt.answer.status).field("sends", m_sends).field("next", nextName(next));
+        event.field("request", m_request.id).field("server", m_lastServer).field("end", attemptEndName(attempt.end));
+        event.field("status", attempt.answer.status).field("sends", m_sends).field("next", nextStepName(next));
         if (!attempt.error.step.empty()) {
             event.error(attempt.error);
         }
     }
     switch (next) {
     case NextStep::TryAnother:
-        m_state.metrics.increment(CounterFamily::Retries, endName(attempt.end));
+        m_state.metrics.increment(CounterFamily::Retries, attemptEndName(attempt.end));
         return true;
     case NextStep::Deliver:
         deliver(attempt);
@@ -386,10 +249,10 @@
         refuse(RefusalReason::ServersFull);
         break;
     case NextStep::Fail:
-        answerOwn(502, endName(attempt.end), std::nullopt);
+        answerOwn(502, attemptEndName(attempt.end), std::nullopt);
         break;
     case NextStep::Abort:
-        abort(endName(attempt.end));
+        abort(attemptEndName(attempt.end));
         break;
     }
     return false;
@@ -405,7 +268,7 @@
     const TimePoint begun = m_state.clock.now();
     const int sendsBefore = m_sends;
     const bool mayHaveRunBefore = m_mayHaveRun;
-    const Attempt ended = co_await attempt(placement.prefill, std::move(terms), placement.tokensToRead, LongestTime);
+    const Attempt ended = co_await attempt(placement.prefill, std::move(terms), placement.tokensToRead, LongestRequestTime);
     m_mayHaveRun = mayHaveRunBefore; // A prefill runs nothing.
     m_prefills += m_sends - sendsBefore;
     if (ended.finished) {
@@ -430,282 +293,32 @@
     }
 }
 
-asio::awaitable<Forwarder::Attempt> Forwarder::attempt(
-    BackendPointer backend, SendTerms terms, std::int64_t tokensToRead, Duration patience)
-{
-    const TimePoint now = m_state.clock.now();
-    Sending sending(m_state, backend, tokensToRead);
-    sending.prefillOnly = terms.prefillOnly;
-    sending.begunAt = now;
-    sending.heardAt = now;
-    sending.until = patience >= LongestTime ? TimePoint::max() : now + patience;
-    m_lastServer = backend->record.id;
-    m_tried.insert(backend->record.id);
-    terms.replica = backend->record.id;
-    terms.timeLeft = timeLeft();
-    if (m_request.prompt) {
-        if (m_state.settings.engineSpeed.usePriorities) {
-            terms.priority = std::clamp(m_route->priority, 0, LeastPriority);
-        }
-        backend->cache.use(m_request.prompt->parts);
-        m_state.readRates[m_serviceId].add(static_cast<double>(tokensToRead), now);
-        m_state.uses.push_back({backend->record.id, m_request.prompt->parts});
-    }
-    if (!terms.prefillOnly) {
-        m_events.beginRun();
-        m_state.crashes.started(backend->record.id, m_content);
-    }
-    const auto ownAnswer = [this](const AnswerHead &head) {
-        const BackendAnswer answer = m_state.dialect.decodeAnswer(head.status, head.reason, head.headers);
-        return head.status >= 200 && (answer.request ? *answer.request == m_request.id : !answer.success());
-    };
-    const bool freshest = !m_route->idempotent() && !terms.prefillOnly;
-    sending.channel = m_state.pool.acquire(co_await asio::this_coro::executor, backend->record.id, backend->record.address, freshest, now);
-    sending.channel->begin(
-        m_state.dialect.encodeRequest(m_request, terms), m_request.method == "HEAD", ownAnswer, ConnectTimeout, m_caller.wakeup());
-    Attempt ended = co_await follow(sending);
-    if (!terms.prefillOnly) {
-        m_state.crashes.ended(backend->record.id, m_content, ended.end == AttemptEnd::Answered, m_state.clock.now());
-    }
-    co_return ended;
-}
-
-asio::awaitable<Forwarder::Attempt> Forwarder::follow(Sending &sending)
-{
-    BackendChannel &channel = *sending.channel;
-    bool counted = false;
-    while (true) {
-        if (!counted && channel.maybeSent()) {
-            counted = true;
-            ++m_sends;
-        }
-        progress(sending);
-        if (channel.phase() == ChannelPhase::Done) {
-            co_return conclude(sending);
-        }
-        if (channel.phase() == ChannelPhase::Failed) {
-            co_return lost(sending);
-        }
-        const TimePoint now = m_state.clock.now();
-        if (m_caller.ended() || now >= m_deadline) {
-            co_return giveUp(sending);
-        }
-        TimePoint wake = m_deadline;
-        if (sending.until != TimePoint::max()) {
-            const TimePoint silentAt = std::max(sending.until, std::max(sending.heardAt, sending.backend->progressAt) + SilentFor);
-            const TimePoint due = m_route->kind == RouteKind::Safe ? sending.until : silentAt;
-            if (now >= due) {
-                m_mayHaveRun = true;
-                channel.close();
-                sending.backend->failed(now);
-                Attempt ended;
-                ended.end = AttemptEnd::Silent;
-                co_return ended;
-            }
-            wake = std::min(wake, due);
-        }
-        co_await m_caller.wakeup().waitUntil(wake);
-    }
-}
-
-void Forwarder::progress(Sending &sending)
-{
-    BackendChannel &channel = *sending.channel;
-    const bool answering = channel.phase() == ChannelPhase::Answering || channel.phase() == ChannelPhase::Done;
-    if (!answering && !sending.answer) {
-        return;
-    }
-    if (!sending.answer) {
-        const AnswerHead &head = channel.head();
-        sending.answer = m_state.dialect.decodeAnswer(head.status, head.reason, head.headers);
-        sending.relaysEvents = !sending.prefillOnly && m_route->kind == RouteKind::Streaming && sending.answer->success();
-    }
-    if (!channel.body().empty()) {
-        sending.heardAt = m_state.clock.now();
-        sending.backend->progressAt = sending.heardAt;
-    }
-    if (sending.relaysEvents && sending.answer->sealed) {
-        passEvents(sending);
-    }
-}
-
-void Forwarder::passEvents(Sending &sending)
-{
-    const std::uint64_t before = m_events.count();
-    const std::string events = m_events.take(sending.channel->body());
-    sending.channel->body().clear();
-    if (events.empty()) {
-        return;
-    }
-    sending.promptRead();
-    const TimePoint now = m_state.clock.now();
-    if (m_firstEventAt) {
-        m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
-    }
-    m_lastEventAt = now;
-    if (!m_answering) {
-        m_firstEventAt = now;
-        m_state.metrics.observe(LatencyKind::FirstToken, *m_firstEventAt - m_request.arrivedAt);
-        beginStream(*sending.answer);
-    }
-    m_caller.send(m_terms.readsChunks ? chunk(events) : events);
-    m_state.eventRates[m_serviceId].add(static_cast<double>(m_events.count() - before), m_state.clock.now());
-}
-
-Forwarder::Attempt Forwarder::conclude(Sending &sending)
-{
-    const TimePoint now = m_state.clock.now();
-    Attempt ended;
-    ended.answer = *sending.answer;
-    ended.body = std::move(sending.channel->body());
-    if (sending.channel->detach()) {
-        m_state.pool.release(sending.channel, now);
-    }
-    const int status = ended.answer.status;
-    if (ended.answer.notExecuted && (status == 503 || status == 429 || status == 421)) {
-        ended.end = AttemptEnd::NotExecuted;
-        sending.backend->failed(now);
-        return ended;
-    }
-    const bool cutEvent = sending.relaysEvents && !m_events.betweenEvents();
-    const bool foreign = ended.answer.success() && !sending.prefillOnly && (!ended.answer.sealed || !ended.answer.request);
-    if (cutEvent || foreign) {
-        m_mayHaveRun = true;
-        ended.end = AttemptEnd::Broken;
-        ended.error = Error{ErrorId::MalformedMessage,
-            "backend.read",
-            sending.backend->record.address.text(),
-            cutEvent ? "the stream ends within an event" : "the answer bears no signature or request id",
-            Delivery::MaybeSent};
-        return ended;
-    }
-    m_mayHaveRun = true;
-    if (status >= 500) {
-        ended.end = AttemptEnd::ServerError;
-        return ended;
-    }
-    sending.backend->succeeded();
-    ended.end = AttemptEnd::Answered;
-    return ended;
-}
-
-Forwarder::Attempt Forwarder::lost(Sending &sending)
-{
-    const TimePoint now = m_state.clock.now();
-    Attempt ended;
-    ended.error = sending.channel->error();
-    const bool sent = sending.channel->maybeSent();
-    sending.channel->close();
-    sending.backend->failed(now);
-    if (!sent) {
-        ended.end = AttemptEnd::NotSent;
-        return ended;
-    }
-    m_mayHaveRun = true;
-    ended.end = AttemptEnd::Broken;
-    if (!sending.prefillOnly && ended.error.id == ErrorId::ConnectionLost && now - sending.begunAt > CrashAfter) {
-        m_state.crashes.crashed(sending.backend->record.id, m_content, now);
-    }
-    return ended;
-}
-
-Forwarder::Attempt Forwarder::giveUp(Sending &sending)
-{
-    Attempt ended;
-    ended.finished = true;
-    ended.end = sending.channel->maybeSent() ? AttemptEnd::Silent : AttemptEnd::NotSent;
-    m_mayHaveRun = m_mayHaveRun || (sending.channel->maybeSent() && !sending.prefillOnly);
-    sending.channel->close();
-    m_caller.ended() ? callerLeft() : outOfTime();
-    m_done = true;
-    return ended;
-}
-
-void Forwarder::releaseKv(const KvLocation &location, const ReplicaId &replica)
+void Forwarder::releaseKv()
 {
-    const auto release = [](FrontState &state, KvLocation kv, ReplicaId id) -> asio::awaitable<void> {
-        const auto executor = co_await asio::this_coro::executor;
-        Wakeup wakeup(executor);
-        const BackendChannel::Pointer channel = state.pool.acquire(executor, id, kv.engine, false, state.clock.now());
-        const TimePoint until = state.clock.now() + 1s;
-        channel->begin(
-            state.dialect.encodeRelease(kv),
-            false,
-            [](const AnswerHead &) {
-                return true;
-            },
-            ConnectTimeout,
-            wakeup);
-        while (channel->phase() != ChannelPhase::Done && channel->phase() != ChannelPhase::Failed && state.clock.now() < until) {
-            co_await wakeup.waitUntil(until);
-        }
-        if (channel->phase() == ChannelPhase::Done && channel->detach()) {
-            state.pool.release(channel, state.clock.now());
-        } else {
-            channel->close(); // The memory is freed when its time ends.
-        }
+    // Without an answer the memory is freed when its time ends.
+    BackendCall call{m_kvEngine, m_kv->engine, m_state.dialect.encodeRelease(*m_kv), false, ReleaseTimeout};
+    const auto release = [](FrontState &state, BackendCall toMake) -> asio::awaitable<void> {
+        (void)co_await callBackend(state.pool, state.clock, std::move(toMake));
     };
-    asio::co_spawn(m_caller.executor(), release(m_state, location, replica), asio::detached);
+    asio::co_spawn(m_caller.executor(), release(m_state, std::move(call)), asio::detached);
 }
 
 // ---- answering ----
 
-void Forwarder::appendConnectionLine(std::string &message)
-{
-    if (!m_terms.keepAlive || m_state.leaving) {
-        m_terms.keepAlive = false;
-        message += "Connection: close\r\n";
-    }
-}
-
-void Forwarder::beginStream(const BackendAnswer &answer)
-{
-    m_answering = true;
-    std::string message = statusLine(answer.status, answer.reason);
-    for (const HttpHeader &line : answer.passed.lines()) {
-        message += line.name + ": " + line.value + "\r\n";
-    }
-    if (m_terms.readsChunks) {
-        message += "Transfer-Encoding: chunked\r\n";
-    } else {
-        m_terms.keepAlive = false; // The end of the connection ends the answer.
-    }
-    appendConnectionLine(message);
-    message += "\r\n";
-    m_caller.send(std::move(message));
-}
-
-void Forwarder::endStream()
-{
-    if (m_terms.readsChunks) {
-        m_caller.send("0\r\n\r\n");
-    }
-}
-
 void Forwarder::deliver(const Attempt &attempt)
 {
-    if (m_answering) {
-        endStream();
+    if (m_answer.begun()) {
+        m_answer.endStream();
         finish(attempt.answer.status, "streamed");
         return;
     }
-    std::string message = statusLine(attempt.answer.status, attempt.answer.reason);
-    for (const HttpHeader &line : attempt.answer.passed.lines()) {
-        message += line.name + ": " + line.value + "\r\n";
-    }
-    const std::uint64_t length =
-        m_request.method == "HEAD" ? attempt.answer.contentLength.value_or(0) : static_cast<std::uint64_t>(attempt.body.size());
-    message += "Content-Length: " + std::to_string(length) + "\r\n";
-    appendConnectionLine(message);
-    message += "\r\n";
-    message += attempt.body;
-    m_caller.send(std::move(message));
+    m_answer.sendWhole(attempt.answer, attempt.body);
     finish(attempt.answer.status, "answered");
 }
 
 void Forwarder::refuse(RefusalReason reason)
 {
-    const RefusalForm form = formOf(reason);
+    const RefusalForm &form = refusalForm(reason);
     // Refused callers come back spread over a second, which is about the time that a backlog of one burst takes.
     const auto delay = std::chrono::milliseconds(std::uniform_int_distribution<int>(200, 1000)(m_state.random));
     m_state.metrics.increment(CounterFamily::Refusals, form.reason);
@@ -714,39 +327,24 @@
 
 void Forwarder::answerOwn(int status, std::string_view reason, std::optional<Duration> retryAfter)
 {
-    if (m_answering) {
+    if (m_answer.begun()) {
         abort("answer_already_begun");
         return;
     }
-    const std::string body = "{\"error\":\"" + std::string(reason) + "\"}";
-    std::string message = statusLine(status, reason);
-    message += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-    if (retryAfter) {
-        std::array<char, 48> line{};
-        const double seconds = static_cast<double>(toMilliseconds(*retryAfter)) / 1000;
-        const int length = std::snprintf(line.data(), line.size(), "Retry-After: %.3f\r\n", seconds);
-        message.append(line.data(), static_cast<std::size_t>(length));
-    }
-    appendConnectionLine(message);
-    message += "\r\n";
-    if (m_request.method != "HEAD") {
-        message += body;
-    }
-    m_caller.send(std::move(message));
+    m_answer.sendOwn(status, reason, retryAfter);
     finish(status, reason);
 }
 
 void Forwarder::abort(const char *why)
 {
-    m_terms.keepAlive = false;
-    m_caller.close();
+    m_answer.abort();
     finish(0, why);
 }
 
 void Forwarder::outOfTime()
 {
     m_state.metrics.increment(CounterFamily::Answers, "out_of_time");
-    if (m_answering) {
+    if (m_answer.begun()) {
         abort("out_of_time");
     } else if (m_mayHaveRun) {
         answerOwn(504, "out_of_time", std::nullopt);
@@ -757,7 +355,7 @@
 
 void Forwarder::callerLeft()
 {
-    m_terms.keepAlive = false;
+    m_answer.dropConnection();
     finish(0, "caller_left");
 }
 
--- a/src/app/stage_keeper.cpp
+++ b/src/app/stage_keeper.cpp
@@ -3,8 +3,6 @@
 #include <set>
 #include <utility>
 
-#include <boost/asio/this_coro.hpp>
-
 #include "apricotarch/base/log.h"
 
 namespace apricotarch
@@ -163,7 +161,7 @@
         co_return;
     }
     const StageOrder order{engine->record.id, stage, m_self.node, authority->token, report->orders};
-    const EngineAnswer answer = co_await exchange(engine, m_messages.order(order, engine->record.address));
+    const BackendCallAnswer answer = co_await exchange(engine, m_messages.order(order, engine->record.address));
     m_state.metrics.increment(CounterFamily::Orders, answer.status == 0 ? "unanswered" : std::to_string(answer.status));
     LogEvent("stage.ordered")
         .field("engine", order.engine)
@@ -185,38 +183,16 @@
 asio::awaitable<Result<EngineReport>> StageKeeper::readReport(BackendPointer engine)
 {
     const std::string peer = engine->record.address.text();
-    const EngineAnswer answer = co_await exchange(engine, m_messages.reportRequest(engine->record.id, engine->record.address));
+    const BackendCallAnswer answer = co_await exchange(engine, m_messages.reportRequest(engine->record.id, engine->record.address));
     if (answer.status != AlreadySo) {
         co_return fail(ErrorId::UnexpectedStatus, "report.read", peer, "status " + std::to_string(answer.status));
     }
     co_return m_messages.report(answer.body, peer);
 }
 
-asio::awaitable<StageKeeper::EngineAnswer> StageKeeper::exchange(BackendPointer engine, std::string message)
+asio::awaitable<BackendCallAnswer> StageKeeper::exchange(const BackendPointer &engine, std::string message)
 {
-    const auto executor = co_await asio::this_coro::executor;
-    Wakeup wakeup(executor);
-    const BackendChannel::Pointer channel =
-        m_state.pool.acquire(executor, engine->record.id, engine->record.address, true, m_state.clock.now());
-    const TimePoint until = m_state.clock.now() + OrderTimeout;
-    const auto anyAnswer = [](const AnswerHead &head) {
-        return head.status >= 200;
-    };
-    channel->begin(std::move(message), false, anyAnswer, OrderTimeout, wakeup);
-    while (channel->phase() != ChannelPhase::Done && channel->phase() != ChannelPhase::Failed && m_state.clock.now() < until) {
-        co_await wakeup.waitUntil(until);
-    }
-    EngineAnswer answer;
-    if (channel->phase() != ChannelPhase::Done) {
-        channel->close();
-        co_return answer;
-    }
-    answer.status = channel->head().status;
-    answer.body = std::move(channel->body());
-    if (channel->detach()) {
-        m_state.pool.release(channel, m_state.clock.now());
-    }
-    co_return answer;
+    return callBackend(m_state.pool, m_state.clock, {engine->record.id, engine->record.address, std::move(message), true, OrderTimeout});
 }
 
 } // namespace apricotarch
--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -1,8 +1,34 @@
 #include "apricotarch/coordination/attempt_policy.h"
 
+#include <array>
+#include <cstddef>
+
 namespace apricotarch
 {
 
+namespace
+{
+
+/// In the order of AttemptEnd.
+constexpr std::array<const char *, 6> EndNames = {"answered", "server_error", "not_sent", "not_executed", "broken", "silent"};
+static_assert(static_cast<std::size_t>(AttemptEnd::Silent) + 1 == EndNames.size());
+
+/// In the order of NextStep.
+constexpr std::array<const char *, 5> StepNames = {"deliver", "try_another", "refuse", "fail", "abort"};
+static_assert(static_cast<std::size_t>(NextStep::Abort) + 1 == StepNames.size());
+
+} // namespace
+
+const char *attemptEndName(AttemptEnd end) noexcept
+{
+    return EndNames.at(static_cast<std::size_t>(end));
+}
+
+const char *nextStepName(NextStep next) noexcept
+{
+    return StepNames.at(static_cast<std::size_t>(next));
+}
+
 NextStep withoutBudget(AttemptEnd end, const AttemptFacts &facts) noexcept
 {
     if (facts.answering) {
--- /dev/null
+++ b/src/coordination/front_refusal.cpp
@@ -0,0 +1,31 @@
+#include "apricotarch/coordination/front_refusal.h"
+
+#include <array>
+#include <cstddef>
+
+namespace apricotarch
+{
+
+namespace
+{
+
+/// In the order of RefusalReason.
+constexpr std::array<RefusalForm, 7> Forms = {{
+    {503, "no_configuration", true},
+    {404, "no_route", false},
+    {503, "no_server", true},
+    {503, "too_late", true},
+    {503, "content_crashes_servers", true},
+    {503, "servers_full", true},
+    {503, "overloaded", true},
+}};
+static_assert(static_cast<std::size_t>(RefusalReason::Overloaded) + 1 == Forms.size());
+
+} // namespace
+
+const RefusalForm &refusalForm(RefusalReason reason) noexcept
+{
+    return Forms.at(static_cast<std::size_t>(reason));
+}
+
+} // namespace apricotarch
--- a/tests/src/unit-front_policy.cpp
+++ b/tests/src/unit-front_policy.cpp
@@ -25,7 +25,6 @@
 AttemptFacts safeOnce()
 {
     AttemptFacts facts = unsafeOnce();
-    facts.kind = RouteKind::Safe;
     facts.idempotent = true;
     return facts;
 }
