Choose the copy of cached parts in a function of its own

Cause: `judge` had grown by a loop with five locals, and two comments said more than was known (how often notices are sent, what a step away from home costs).

Change: `chooseCopy`; the comments give the figures.

--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -32,7 +32,7 @@
     double interference = 0.1; ///< What a millisecond of reading costs for each stream that it holds up.
     double longestWaitMs = 600; ///< A prompt that would wait longer than this before it is read is refused.
     bool usePriorities = false; ///< Whether engines are told the routes' priorities.
-    double homeStepMs = 200; ///< What each step away from a prompt's first engine counts.
+    double homeStepMs = 200; ///< What each step away from a prompt's first engine counts, for 10,000 shared tokens.
     double copyWeight = 2; ///< How much a millisecond of copying cached parts counts on top of the caller's own wait.
     std::int64_t leastCopiedTokens = 1024; ///< Fewer are read again: a copy's fixed costs outweigh the reading.
 };
@@ -104,6 +104,10 @@
 
     [[nodiscard]] Candidate judge(
         const Holder &holder, const std::vector<Holder> &sources, const PlacementRequest &request, const EngineSpec &spec) const;
+    /// Notes in @p candidate from where its engine copies parts, if that is faster than reading them. @return its milliseconds, or 0
+    [[nodiscard]] double chooseCopy(
+        Candidate &candidate, const Holder &holder, const std::vector<Holder> &sources, const EngineSpec &spec) const;
+    /// Milliseconds until an engine has copied @p tokens from another one.
     [[nodiscard]] double copyMs(const BackendPointer &from, const BackendPointer &to, std::int64_t tokens, const EngineSpec &spec) const;
     [[nodiscard]] double slotWaitMs(const Backend &engine, const EngineSpec &spec) const;
 
--- a/src/app/fleet_keeper.cpp
+++ b/src/app/fleet_keeper.cpp
@@ -45,8 +45,8 @@
 /// Between two looks at the nodes' table. New nodes send beats to all they know, so this only closes gaps.
 constexpr Duration NodesPause = 60s;
 
-/// A change of a server's work is told at once from this many tokens for each peer on: with 6 peers all but the smallest
-/// prompts, with 68 the largest hundredth, so that a node sends and gets about 300 such datagrams a second at most.
+/// A change of a server's work is told at once from this many tokens for each peer on: with 6 peers all but small
+/// prompts, with 68 only those of 5,440 tokens and more, so that a node sends about 100 such datagrams a second in both fleets.
 constexpr std::int64_t NoticeTokensPerPeer = 80;
 
 constexpr std::size_t HousekeepingBeats = 3;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -136,35 +136,44 @@
     return sources;
 }
 
-Placer::Candidate Placer::judge(
-    const Holder &holder, const std::vector<Holder> &sources, const PlacementRequest &request, const EngineSpec &spec) const
+double Placer::chooseCopy(Candidate &candidate, const Holder &holder, const std::vector<Holder> &sources, const EngineSpec &spec) const
 {
-    Candidate candidate;
-    const BackendPointer &engine = holder.engine;
-    candidate.engine = engine;
-    candidate.toRead = std::max<std::int64_t>(request.promptTokens - holder.tokens, 1);
-    double copy = 0;
-    double gain = 0;
-    for (const Holder &other : sources) {
-        const std::int64_t more = other.tokens - holder.tokens;
-        if (more < m_speed.leastCopiedTokens || other.engine == engine) {
+    double chosenMs = 0;
+    double mostSaved = 0;
+    std::int64_t copied = 0;
+    for (const Holder &source : sources) {
+        const std::int64_t more = source.tokens - holder.tokens;
+        if (more < m_speed.leastCopiedTokens || source.engine == holder.engine) {
             continue;
         }
-        const double took = copyMs(other.engine, engine, more, spec);
-        const double saved = readMs(*engine, more) - m_speed.copyWeight * took;
-        if (saved > gain) {
-            gain = saved;
-            copy = took;
-            candidate.partsFrom = other.engine;
-            candidate.toRead = std::max<std::int64_t>(request.promptTokens - other.tokens, 1);
+        const double ms = copyMs(source.engine, holder.engine, more, spec);
+        const double saved = readMs(*holder.engine, more) - m_speed.copyWeight * ms;
+        if (saved > mostSaved) {
+            mostSaved = saved;
+            chosenMs = ms;
+            candidate.partsFrom = source.engine;
+            copied = more;
         }
     }
-    candidate.waitMs = readMs(*engine, engine->load().promptTokens) + slotWaitMs(*engine, spec);
-    const double read = readMs(*engine, candidate.toRead);
+    candidate.toRead -= copied;
+    return chosenMs;
+}
+
+Placer::Candidate Placer::judge(
+    const Holder &holder, const std::vector<Holder> &sources, const PlacementRequest &request, const EngineSpec &spec) const
+{
+    Candidate candidate;
+    const Backend &engine = *holder.engine;
+    candidate.engine = holder.engine;
+    candidate.toRead = request.promptTokens - holder.tokens;
+    const double copy = chooseCopy(candidate, holder, sources, spec);
+    candidate.toRead = std::max<std::int64_t>(candidate.toRead, 1);
+    candidate.waitMs = readMs(engine, engine.load().promptTokens) + slotWaitMs(engine, spec);
+    const double read = readMs(engine, candidate.toRead);
     candidate.firstMs = candidate.waitMs + copy + read + m_speed.stepMs;
     candidate.cost = candidate.firstMs + m_speed.readWeight * read + m_speed.copyWeight * copy;
-    if (engine->record.stage != EngineStage::Prefill) {
-        candidate.cost += m_speed.interference * read * static_cast<double>(engine->load().requests);
+    if (engine.record.stage != EngineStage::Prefill) {
+        candidate.cost += m_speed.interference * read * static_cast<double>(engine.load().requests);
     }
     return candidate;
 }
