Test small calls of engines, and prompts read at one engine and answered by another

Change: `backend_call` (an answer, silence, a connection that breaks) and `forwarder/a_long_prompt` (the generating engine is sent the reader's address and handle, nothing of the prefill reaches the caller; without a budget there is one call only).

--- /dev/null
+++ b/tests/src/unit-backend_call.cpp
@@ -0,0 +1,81 @@
+#include <boost/test/unit_test.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "apricotarch/transport/backend_call.h"
+#include "fakes/scripted_server.h"
+
+using namespace apricotarch;
+using namespace std::chrono_literals;
+using fakes::ScriptedAnswer;
+using fakes::ScriptedServer;
+
+namespace
+{
+
+/// Makes one call of a scripted server on a loop of its own.
+BackendCallAnswer call(ScriptedServer::Script script, Duration timeout)
+{
+    boost::asio::io_context loop;
+    SystemClock clock;
+    BackendPool pool{PoolLimits()};
+    ScriptedServer server(loop, std::move(script));
+    BackendCallAnswer answer;
+    bool done = false;
+    const auto make = [&]() -> asio::awaitable<void> {
+        BackendCall made{ReplicaId("e"), server.endpoint(), "GET /v1/report HTTP/1.1\r\nHost: e\r\n\r\n", true, timeout};
+        answer = co_await callBackend(pool, clock, std::move(made));
+        done = true;
+    };
+    boost::asio::co_spawn(loop, make(), boost::asio::detached);
+    const auto until = std::chrono::steady_clock::now() + 5s;
+    while (!done && std::chrono::steady_clock::now() < until) {
+        loop.run_one_for(50ms);
+    }
+    BOOST_TEST(done);
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_call)
+
+BOOST_AUTO_TEST_CASE(brings_status_and_body)
+{
+    const BackendCallAnswer answer = call(
+        [](const RequestHead &, const std::string &) {
+            return ScriptedAnswer{"HTTP/1.1 409 Busy\r\nContent-Length: 4\r\n\r\nbusy"};
+        },
+        2s);
+    BOOST_TEST(answer.status == 409);
+    BOOST_TEST(answer.body == "busy");
+}
+
+BOOST_AUTO_TEST_SUITE(without_an_answer_tells_of_none)
+
+BOOST_AUTO_TEST_CASE(where_the_server_is_silent)
+{
+    const BackendCallAnswer answer = call(
+        [](const RequestHead &, const std::string &) {
+            return ScriptedAnswer{""};
+        },
+        100ms);
+    BOOST_TEST(answer.status == 0);
+    BOOST_TEST(answer.body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(where_the_connection_breaks_within_the_answer)
+{
+    const BackendCallAnswer answer = call(
+        [](const RequestHead &, const std::string &) {
+            return ScriptedAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf", true};
+        },
+        2s);
+    BOOST_TEST(answer.status == 0);
+    BOOST_TEST(answer.body.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/src/unit-forwarder.cpp
+++ b/tests/src/unit-forwarder.cpp
@@ -79,13 +79,18 @@
     {
         CallerLimits limits;
         limits.bodyBytes = 1000;
-        std::vector<RoutedService> services(1);
+        std::vector<RoutedService> services(2);
         services[0].id = ServiceId("desk");
+        services[1].id = ServiceId("engines");
+        services[1].engine = EngineSpec{64, 491'264, 327'680, 3'200'000};
+        Route longPrompts = route("/long/", RouteKind::Streaming, 2, true);
+        longPrompts.services = {{ServiceId("engines"), 1}};
         state.plan = std::make_shared<RoutingPlan>(1,
             std::vector<Route>{route("/book/", RouteKind::Unsafe, 2, false),
                 route("/view/", RouteKind::Safe, 2, false),
                 route("/plan/", RouteKind::Streaming, 2, true),
-                route("/check/", RouteKind::Streaming, 1, false)},
+                route("/check/", RouteKind::Streaming, 1, false),
+                std::move(longPrompts)},
             std::move(services),
             limits);
     }
@@ -102,6 +107,17 @@
         return *servers.back();
     }
 
+    ScriptedServer &addEngine(const char *id, EngineStage stage, ScriptedServer::Script script)
+    {
+        ScriptedServer &server = addServer(id, std::move(script));
+        BackendRecord record = state.backends.find(ReplicaId(id))->record;
+        record.service = ServiceId("engines");
+        record.stage = stage;
+        record.slots = 64;
+        state.backends.put(record, m_clock.now());
+        return server;
+    }
+
     /// Sends bytes on a new connection and reads until the node closes or @p enough is contained.
     std::string ask(const std::string &bytes, const std::string &enough = "\r\n\r\n")
     {
@@ -146,6 +162,8 @@
 const std::string Book = "POST /book/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nvisi";
 const std::string View = "GET /view/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r2\r\nX-Deadline-Ms: 5000\r\n\r\n";
 const std::string Plan = "POST /plan/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r3\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
+const std::string Long = "POST /long/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r5\r\nX-Deadline-Ms: 5000\r\nX-Model: m\r\n"
+                         "X-Token-Counts: 17000,80\r\nX-Prompt-Prefix: a1:13000,b2:4000\r\nContent-Length: 0\r\n\r\n";
 const std::string Check = "POST /check/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r4\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
 
 } // namespace
@@ -304,6 +322,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_long_prompt)
+
+BOOST_AUTO_TEST_CASE(is_read_by_one_engine_and_answered_by_another_from_its_memory)
+{
+    Desk desk;
+    std::string stage;
+    std::string source;
+    ScriptedServer &reader = desk.addEngine("reader", EngineStage::Prefill, [&stage](const RequestHead &head, const std::string &) {
+        stage = head.headers.value("X-Stage");
+        return ScriptedAnswer{whole(head, R"({"kvHandle":"h1","tokens":17000,"version":1})")};
+    });
+    desk.addEngine("writer", EngineStage::Decode, [&source](const RequestHead &head, const std::string &) {
+        source = head.headers.value("X-Kv-Source");
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    const std::string answer = desk.ask(Long, "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(1)) != std::string::npos);
+    BOOST_TEST(answer.find("kvHandle") == std::string::npos);
+    BOOST_TEST(stage == "prefill");
+    BOOST_TEST(source == reader.endpoint().text() + "/h1");
+}
+
+BOOST_AUTO_TEST_CASE(is_not_read_a_second_time_without_a_budget_for_it)
+{
+    Desk desk;
+    desk.state.budget = SharedRetryBudget({0, 0, 10s});
+    const auto decline = [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{Declined};
+    };
+    desk.addEngine("reader-1", EngineStage::Prefill, decline);
+    desk.addEngine("reader-2", EngineStage::Prefill, decline);
+    desk.addEngine("writer", EngineStage::Decode, decline);
+    BOOST_TEST(desk.ask(Long).starts_with("HTTP/1.1 503"));
+    std::size_t calls = 0;
+    for (const auto &server : desk.servers) {
+        calls += server->targets.size();
+    }
+    BOOST_TEST(calls == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(without_a_server_to_ask)
 
 BOOST_AUTO_TEST_CASE(the_answer_says_why)
