Wait for a handler's end in the test of one that throws

The server counts a request down on its own thread after the caller has its answer, and the test asked at once.

Change: the test waits up to 5 s and then makes the same check, which a request that stays counted still fails.

--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -217,6 +217,11 @@
     ServerBench server;
     BOOST_TEST(!ServerBench::run(exchange(server.endpoint, "/throw")).has_value());
     BOOST_TEST(ServerBench::run(exchange(server.endpoint, "/x")).has_value());
+    // The caller has its answer before the handler has returned on the server's thread.
+    const auto until = std::chrono::steady_clock::now() + 5s;
+    while (server.active() != 0U && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(1ms);
+    }
     BOOST_TEST(server.active() == 0U);
 }
 
