Destroy the first loop of the workers last

Cause: `http/bad_input/that_makes_a_handler_throw_ends_one_connection_and_no_more` crashed once under load ("memory access violation"). valgrind shows it on each run: loops were destroyed first to last, and a connection that waits on the second loop keeps the server alive, whose acceptor belongs to the first. The same could end a process with a crash at a shutdown with open connections.

Change: the loops are destroyed in reverse order. The fixture of `fleet_keeper` destroys its clock before its loop, which valgrind found as well.

No decision of the front node has changed. `Registration` and a counter were moved in their headers.

--- a/include/apricotarch/app/fleet_keeper.h
+++ b/include/apricotarch/app/fleet_keeper.h
@@ -56,6 +56,12 @@
         Servers,
     };
 
+    /// Whether this node's row was there already.
+    enum class Registration : std::uint8_t {
+        Found,
+        Written,
+    };
+
     // ---- the store ----
 
     [[nodiscard]] asio::awaitable<void> watch(Table table);
@@ -65,12 +71,6 @@
     void noteStore(Table table, const Result<RowBatch> &result);
     [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
     [[nodiscard]] asio::awaitable<void> registerNode();
-    /// Whether this node's row was there already.
-    enum class Registration : std::uint8_t {
-        Found,
-        Written,
-    };
-
     [[nodiscard]] asio::awaitable<Result<Registration>> registerOnce();
 
     // ---- other nodes ----
--- a/include/apricotarch/app/node.h
+++ b/include/apricotarch/app/node.h
@@ -90,7 +90,6 @@
     [[nodiscard]] asio::awaitable<void> beatRound();
     [[nodiscard]] asio::awaitable<void> configurationRound();
     [[nodiscard]] asio::awaitable<void> electorateRound();
-    int m_electorateRounds = 0; ///< Since the last look of the lease's holder.
     [[nodiscard]] asio::awaitable<void> leaseRound();
     [[nodiscard]] asio::awaitable<void> cellRound();
     [[nodiscard]] asio::awaitable<void> vmListRound();
@@ -131,6 +130,7 @@
     boost::intrusive_ptr<AdmissionGate> m_admission;
     LanguageCalls m_languageCalls;
     ApplicationCalls m_applicationCalls;
+    int m_electorateRounds = 0; ///< Since the last look at the electorate; used by its loop only.
     std::atomic<bool> m_draining = false;
     std::atomic<bool> m_shutdownRequested = false;
 };
--- a/include/apricotarch/transport/workers.h
+++ b/include/apricotarch/transport/workers.h
@@ -28,6 +28,7 @@
     explicit Workers(std::size_t count);
     Workers(const Workers &) = delete;
     Workers &operator=(const Workers &) = delete;
+    /// Stops, and destroys the loops with what waits on them, the first one last.
     ~Workers();
 
     /// Starts the threads.
--- a/src/transport/workers.cpp
+++ b/src/transport/workers.cpp
@@ -16,6 +16,11 @@
 Workers::~Workers()
 {
     stop();
+    m_guards.clear();
+    // Connections on later loops hold what belongs to the first one, such as the acceptor that they came from.
+    while (!m_contexts.empty()) {
+        m_contexts.pop_back();
+    }
 }
 
 void Workers::start()
--- a/tests/src/unit-fleet_keeper.cpp
+++ b/tests/src/unit-fleet_keeper.cpp
@@ -158,8 +158,8 @@
         }
     }
 
-    fakes::ManualClock clock;
     Workers workers{1};
+    fakes::ManualClock clock; ///< Destroyed before the loop that its sleepers wait on.
     std::uint16_t peerPort = freePort();
 };
 
