--- a/src/app/stage_keeper.cpp
+++ b/src/app/stage_keeper.cpp
@@ -149,7 +149,7 @@
         .field("engines", due.engines)
         .field("read_tokens_per_s", static_cast<std::int64_t>(due.demand.promptTokensPerMs * 1000))
         .field("streams", static_cast<std::int64_t>(due.demand.streams));
-    const BackendPointer engine = m_state.backends.find(due.change.engine);
+    BackendPointer engine = m_state.backends.find(due.change.engine);
     m_changedAt[due.change.engine] = now;
     engine->changingUntil = now + due.switchTime + SwitchSlack;
     engine->changingTo = due.change.stage;
