--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -102,6 +102,13 @@
   3: required list<i32> partTokens
 }
 
+/// An engine whose stage is being changed.
+struct StageChange {
+  1: required string replica
+  /// Time until the engine is expected to accept work again.
+  2: required i32 remainingMs
+}
+
 /// Heartbeat of a front node. It is sent in one UDP datagram.
 struct FrontBeat {
   1: required string node
@@ -127,11 +134,18 @@
   17: required map<string, double> eventRates
   /// Whether the sender reads the platform's tables directly and its last calls were answered.
   18: required bool readsStore
-  /// Engines that the sender is ordering to change their stage; they accept no work during the change.
-  16: required list<string> changing
+  /// Engines whose stage is being changed; they accept no work during the change. Receivers pass them on.
+  16: required list<StageChange> changing
   /// Heartbeat addresses of a few other nodes that the sender receives heartbeats from. They rotate between heartbeats, so that all nodes
   /// discover each other.
   19: required list<string> acquaintances
+  /// Number of nodes that the sender knows, itself included.
+  20: required i32 knownNodes
+  /// The node that orders stage changes as far as the sender knows, and the age of its last sign of life.
+  21: required string coordinator
+  22: required i32 coordinatorAgeMs
+  /// Recent signs of life of other nodes of the sender's zone: 5 bytes each, see sighting_codec.h.
+  23: required binary sightings
 }
 
 /// Update of the sender's load at one engine, sent immediately when the load changes considerably. It is sent in one UDP datagram.
@@ -141,12 +155,43 @@
   2: required i64 sequence
   3: required string peerAddress
   4: required ServerLoad load
+  /// Parts of the prompt that the sender has just sent to the engine; empty for other changes.
+  5: required list<i64> partIds
+  6: required list<i32> partTokens
+}
+
+/// Asks the steward of a group of engines for the load of the group. It is sent in one UDP datagram.
+struct GroupQuery {
+  1: required i64 number
+  2: required string peerAddress
+  3: required string engineService
+  4: required string group
+  /// Parts of the prompt that is to be placed.
+  5: required list<i64> partIds
+  6: required list<i32> partTokens
+}
+
+/// One engine in a GroupReport.
+struct GroupEngine {
+  /// Outstanding work of all nodes but the asking one.
+  1: required ServerLoad load
+  /// Leading tokens of the prompt that are cached at the engine.
+  2: required i32 cachedTokens
+}
+
+/// Answer to a GroupQuery. It is sent in one UDP datagram.
+struct GroupReport {
+  1: required i64 number
+  2: required string peerAddress
+  3: required list<GroupEngine> engines
 }
 
 /// Content of a datagram between front nodes. Exactly one field is set.
 struct FrontDatagram {
   1: optional FrontBeat beat
   2: optional LoadNotice notice
+  3: optional GroupQuery query
+  4: optional GroupReport report
 }
 
 /// Requests the rows of the platform's tables that a front node has read.
--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "apricotarch/app/engine_group_loads.h"
 #include "apricotarch/app/front_state.h"
 #include "apricotarch/coordination/platform_services.h"
 #include "apricotarch/coordination/table_reader.h"
@@ -84,10 +85,18 @@
     void sendHeartbeat();
     void sendToPeers(const FrontDatagram &datagram);
     [[nodiscard]] FrontHeartbeat makeHeartbeat();
-    void sendLoadUpdate(const Backend &backend, std::int64_t tokens);
+    /// Sends a heartbeat within UrgentHeartbeatDelay. Only with partial views, where changes pass through several nodes.
+    void requestUrgentHeartbeat();
+    [[nodiscard]] asio::awaitable<void> sendUrgentHeartbeat();
+    void sendLoadUpdate(const Backend &backend, std::int64_t tokens, const std::vector<PromptPart> &prompt);
+    void addLoads(FrontHeartbeat &heartbeat);
+    void addStageChanges(FrontHeartbeat &heartbeat);
+    void recordStageChanges(const std::vector<EngineStageChange> &changes);
     void handleDatagram(const std::string &bytes, const std::string &peer);
     void handleMessage(const FrontHeartbeat &heartbeat);
     void handleMessage(const LoadUpdate &update);
+    void handleMessage(const EngineGroupQuery &query);
+    void handleMessage(const EngineGroupReport &report);
     void catchUpIfBehind(TimePoint now);
     [[nodiscard]] asio::awaitable<void> catchUp(Endpoint peer);
     [[nodiscard]] FleetSnapshot makeSnapshot(const FleetSnapshotRequest &request) const;
@@ -101,6 +110,7 @@
     AuthenticatedLink &m_link;
     RowDecoders m_decoders;
     Incarnation m_incarnation;
+    EngineGroupLoads m_groupLoads;
     std::int64_t m_sequence = 0;
     RowVersion m_planVersion; ///< Row version of the configuration in force.
     RowVersion m_serversVersion; ///< Highest row version in m_serverRows.
@@ -112,6 +122,9 @@
     std::array<bool, 2> m_storeCallFailed{}; ///< By table: whether the last call to the store failed.
     std::optional<TimePoint> m_behindSince; ///< When a peer was first found to have newer rows than this node.
     bool m_catchingUp = false;
+    bool m_urgentHeartbeatPending = false;
+    TimePoint m_loadsRepeatedAt; ///< When the loads were last repeated to the stewards.
+    std::map<ReplicaId, TimePoint> m_reportedStageChanges; ///< With partial views: ends of the stage changes that others have ordered.
     std::chrono::microseconds m_loopLag{0}; ///< Moving average of the event loop's timer delay.
 };
 
--- a/include/apricotarch/app/front_settings.h
+++ b/include/apricotarch/app/front_settings.h
@@ -44,6 +44,7 @@
     Duration gracePeriod = std::chrono::seconds(8); ///< Time from SIGTERM to SIGKILL.
     std::chrono::milliseconds directoryTtl{1000}; ///< How long callers may cache a directory answer.
     std::size_t memoryLimitMegabytes = 256; ///< Memory limit, above which the process is killed.
+    std::size_t maxFullMeshNodes = DefaultMaxFullMeshNodes; ///< With more nodes, not every node sends heartbeats to every other.
     std::size_t logLinesPerSecond = 100; ///< Lines beyond this rate are dropped and counted.
 
     // ---- engines ----
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -14,6 +14,7 @@
 
 #include "apricotarch/app/front_settings.h"
 #include "apricotarch/coordination/crash_tracker.h"
+#include "apricotarch/coordination/engine_groups.h"
 #include "apricotarch/state/metrics.h"
 #include "apricotarch/state/rate_meter.h"
 #include "apricotarch/state/routing_plan.h"
@@ -35,7 +36,8 @@
         , settings(std::move(initialSettings))
         , clock(nodeClock)
         , protocolAdapter(adapter)
-        , peers(settings.node, PeerTimeouts())
+        , engineGroups(backends)
+        , peers({settings.node, settings.peerAddress, settings.zone}, PeerTimeouts(), settings.maxFullMeshNodes)
         , retryBudget(settings.retryLimits)
         , crashTracker(CrashTrackerPeriods())
         , placementPlanner(settings.engineCosts, seed)
@@ -53,12 +55,21 @@
     /**
      * Reports a change of this node's load on a server to onLoadChanged.
      * @param backend the server
-     * @param tokens number of prompt tokens added or removed; 0 reports nothing
+     * @param tokens number of prompt tokens added or removed
+     * @param prompt the prompt that is being sent to the server; empty for other changes
      */
-    void notifyLoadChanged(const Backend &backend, std::int64_t tokens)
+    void notifyLoadChanged(const Backend &backend, std::int64_t tokens, const std::vector<PromptPart> &prompt = {})
     {
-        if (onLoadChanged && tokens > 0) {
-            onLoadChanged(backend, tokens);
+        if (onLoadChanged) {
+            onLoadChanged(backend, tokens, prompt);
+        }
+    }
+
+    /// Reports a change that other nodes must learn of before the next regular heartbeat.
+    void notifyUrgentChange()
+    {
+        if (onUrgentChange) {
+            onUrgentChange();
         }
     }
 
@@ -70,12 +81,17 @@
     std::shared_ptr<const RoutingPlan> plan = std::make_shared<RoutingPlan>();
     bool serversLoaded = false; ///< Whether the servers' table has been read at least once.
     BackendTable backends;
+    EngineGroupCache engineGroups;
     PeerTable peers;
     SharedRetryBudget retryBudget;
     CrashTracker crashTracker;
     PlacementPlanner placementPlanner;
     BackendConnectionPool backendPool;
-    std::function<void(const Backend &, std::int64_t tokens)> onLoadChanged; ///< Called when this node's load on a server changes.
+    /// Called when this node's load on a server changes, see notifyLoadChanged().
+    std::function<void(const Backend &, std::int64_t tokens, const std::vector<PromptPart> &prompt)> onLoadChanged;
+    std::function<void()> onUrgentChange; ///< Called by notifyUrgentChange().
+    /// With partial views: updates the loads and caches of the engines of a group for a prompt.
+    std::function<asio::awaitable<void>(EngineGroupQuery)> refreshGroupLoad;
     std::vector<SentPrompt> sentPrompts; ///< Prompts sent since the last heartbeat, by engine.
     std::map<ServiceId, RateMeter> prefillRates; ///< Rate of prompt tokens sent to engines for prefill, by service.
     std::map<ServiceId, RateMeter> eventRates; ///< Rate of events relayed to callers, by service.
--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -60,6 +60,14 @@
     /// Refuses a request that cannot be served. @return whether it has been refused
     [[nodiscard]] bool refuseEarly();
     [[nodiscard]] Placement selectPlacement();
+    /// Whether the request is a prompt for a model engine.
+    [[nodiscard]] bool isPrompt() const;
+    /// With partial views: selects the groups of engines for the prompt and updates the load of the current one.
+    [[nodiscard]] asio::awaitable<void> refreshGroupLoad();
+    /// Returns those of @p servers that are in the current group; all if there is no group or none of its engines is usable.
+    [[nodiscard]] std::vector<BackendPointer> usableInGroup(const std::vector<BackendPointer> &servers);
+    /// Selects the next group of engines. @return false if no further group is to be tried
+    [[nodiscard]] bool tryNextGroup();
     [[nodiscard]] bool exceedsWaitLimit(const Placement &placement) const;
     [[nodiscard]] ServiceId chooseService() const;
     [[nodiscard]] RequestProgress collectProgress() const;
@@ -109,6 +117,8 @@
     ContentHash m_contentHash;
     TimePoint m_deadline;
     std::set<ReplicaId> m_triedServers;
+    std::vector<std::string> m_groups; ///< Names of the groups of engines for the prompt, best first; empty without partial views.
+    std::size_t m_groupRank = 0; ///< Index of the current group in m_groups.
     EventSplitter m_eventSplitter;
     ReplicaId m_lastServer;
     std::optional<KvLocation> m_kvLocation; ///< KV cache entry of the prompt that a prefill engine holds for this request.
--- a/include/apricotarch/base/hash.h
+++ b/include/apricotarch/base/hash.h
@@ -5,6 +5,7 @@
  * Hash functions and generation of unique ids.
  */
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,9 @@
 /// Returns a fast, non-cryptographic 64-bit hash of a request's content.
 [[nodiscard]] ContentHash contentHash(std::string_view text) noexcept;
 
+/// Returns a score for rendezvous hashing: of several candidates, the one with the highest score for a key is preferred.
+[[nodiscard]] std::uint64_t rendezvousScore(std::uint64_t key, std::string_view candidate) noexcept;
+
 /// Returns a globally unique identifier: 128 random bits in hexadecimal.
 [[nodiscard]] std::string generateUniqueId();
 
--- a/include/apricotarch/coordination/crash_tracker.h
+++ b/include/apricotarch/coordination/crash_tracker.h
@@ -69,8 +69,11 @@
     /// Returns the records of this node's own observations, to be sent to other nodes.
     [[nodiscard]] std::vector<CrashRecord> localRecords(TimePoint now) const;
 
-    /// Merges the records of another node into the records of this node.
-    void mergeRecords(const std::vector<CrashRecord> &records, TimePoint now);
+    /// Returns all records, those of other nodes included, to be passed on where not every node hears from every other.
+    [[nodiscard]] std::vector<CrashRecord> records(TimePoint now) const;
+
+    /// Merges the records of another node into the records of this node. @return whether a record has changed
+    bool mergeRecords(const std::vector<CrashRecord> &records, TimePoint now);
 
     /**
      * Releases requests with this content from suspicion and quarantine at this node and, through the next heartbeats, at other nodes.
@@ -86,6 +89,8 @@
         bool local = false; ///< Whether this node made the observation itself.
     };
 
+    [[nodiscard]] std::vector<CrashRecord> selectRecords(TimePoint now, bool onlyLocal) const;
+
     /// Returns the number of crashes in the unexpired record of this content.
     [[nodiscard]] int crashCount(ContentHash content, TimePoint now) const;
     /// Clears this content if it has a record, and keeps the clearance for a while to send it to other nodes.
--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -132,6 +132,9 @@
     std::mt19937_64 m_random;
 };
 
+/// Returns the key that ranks the engines for a prompt: the id of its last part that other requests share.
+[[nodiscard]] std::uint64_t promptAffinityKey(const std::vector<PromptPart> &parts);
+
 /// Returns the servers that are not in @p triedServers and not avoided after failures; if there is none, all that are not in @p
 /// triedServers.
 [[nodiscard]] std::vector<BackendPointer> selectCandidates(
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -89,6 +89,9 @@
     /// Records that a prompt has been sent to the engine, which prefills its parts and then caches them.
     void recordPrompt(const std::vector<PromptPart> &prompt);
 
+    /// Corrects the model for one prompt: exactly its leading parts that fit into @p tokens are cached.
+    void setCachedTokens(const std::vector<PromptPart> &prompt, std::int64_t tokens);
+
     /// Returns the number of leading tokens of a prompt that are cached. Linear in the number of the prompt's parts.
     [[nodiscard]] std::int64_t cachedTokens(const std::vector<PromptPart> &prompt) const;
 
@@ -181,6 +184,12 @@
     /// Returns the ready servers of a service, including those whose stage is being changed.
     [[nodiscard]] std::vector<BackendPointer> ready(const ServiceId &service) const;
 
+    /// Returns a number that changes whenever servers are added, removed, or change their state, stage, service or address.
+    [[nodiscard]] std::uint64_t revision() const noexcept
+    {
+        return m_revision;
+    }
+
     /// Returns all servers in any state.
     [[nodiscard]] const std::map<ReplicaId, BackendPointer> &all() const noexcept
     {
@@ -191,6 +200,7 @@
     std::map<ReplicaId, BackendPointer> m_backends;
     std::unordered_map<ServiceId, std::vector<BackendPointer>> m_byService;
     std::unordered_map<ServiceId, std::int64_t> m_cacheTokens;
+    std::uint64_t m_revision = 0;
 };
 
 } // namespace apricotarch
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -6,9 +6,11 @@
  * cannot reach the store.
  */
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -34,6 +36,39 @@
     std::vector<PromptPart> prompt;
 };
 
+/// Address of a node for heartbeats, and its availability zone.
+struct PeerAddress
+{
+    Endpoint address;
+    ZoneId zone; ///< Empty if unknown.
+
+    /// Formats the address as `IP:PORT` or `IP:PORT ZONE`.
+    [[nodiscard]] std::string text() const;
+};
+
+/// Parses the format of PeerAddress::text(). @return the address, or InvalidField
+[[nodiscard]] Result<PeerAddress> parsePeerAddress(std::string_view text);
+
+/// A node's state as passed on by another node, in place of a heartbeat.
+struct PeerSighting
+{
+    std::uint32_t addressHash = 0; ///< Hash of the node's heartbeat address, see peerAddressHash().
+    std::chrono::milliseconds age{0}; ///< Time since the node sent the heartbeat that this is taken from.
+    bool ready = false;
+    bool shuttingDown = false;
+    bool readsStore = false;
+};
+
+/// Returns the hash that identifies a node in sightings.
+[[nodiscard]] std::uint32_t peerAddressHash(const Endpoint &address);
+
+/// An engine whose stage is being changed.
+struct EngineStageChange
+{
+    ReplicaId engine;
+    std::chrono::milliseconds remaining{0}; ///< Time until the engine is expected to accept work again.
+};
+
 /// Heartbeat of a front node, identical for all receivers.
 struct FrontHeartbeat
 {
@@ -54,9 +89,12 @@
     std::chrono::microseconds timerLag{0}; ///< Delay with which the sender's timers fire.
     std::map<ServiceId, double> prefillRates; ///< Prompt tokens per millisecond that the sender has sent to engines for prefill.
     std::map<ServiceId, double> eventRates; ///< Events per millisecond that the sender has forwarded to callers.
-    /// Engines that the sender is ordering to change their stage; they accept no work during the change.
-    std::vector<ReplicaId> changingEngines;
-    std::vector<Endpoint> announcedPeers; ///< Heartbeat addresses of a few other nodes that the sender receives heartbeats from.
+    std::vector<EngineStageChange> changingEngines; ///< They accept no work during the change.
+    std::vector<PeerAddress> announcedPeers; ///< Addresses of a few other nodes that the sender has recent signs of life of.
+    std::size_t knownNodes = 1; ///< Number of nodes that the sender knows, itself included.
+    NodeId coordinator; ///< Node that orders stage changes as far as the sender knows; empty if unknown.
+    std::chrono::milliseconds coordinatorAge{0}; ///< Age of the coordinator's last sign of life.
+    std::vector<PeerSighting> sightings; ///< Other nodes of the sender's zone; empty while all nodes send heartbeats to each other.
 };
 
 /// Update of the sender's load at one backend server, sent between heartbeats when the load changes considerably.
@@ -66,10 +104,36 @@
     std::int64_t sequence = 0; ///< Sequence number, counted over heartbeats and load updates of one incarnation together.
     Endpoint peerAddress; ///< Address of the sender.
     ServerLoad load; ///< All work that the sender has outstanding at the server.
+    std::vector<PromptPart> prompt; ///< Prompt that has just been sent to the server; empty for other changes.
+};
+
+/// Asks the steward of a group of engines for the load of the group.
+struct EngineGroupQuery
+{
+    std::int64_t number = 0; ///< Identifies the query at its sender.
+    Endpoint peerAddress; ///< Address of the sender.
+    ServiceId service;
+    std::string group; ///< Name of the group, see EngineGroup.
+    std::vector<PromptPart> prompt; ///< The prompt to place.
+};
+
+/// Load and cache of one engine, for one sender and prompt.
+struct EngineGroupEntry
+{
+    ServerLoad load; ///< Outstanding work of all nodes but the one that asks.
+    std::int64_t cachedTokens = 0; ///< Number of the prompt's leading tokens that are cached.
+};
+
+/// Answer to an EngineGroupQuery.
+struct EngineGroupReport
+{
+    std::int64_t number = 0; ///< Number of the query.
+    Endpoint peerAddress; ///< Address of the sender.
+    std::vector<EngineGroupEntry> engines;
 };
 
 /// Content of a datagram between front nodes.
-using FrontDatagram = std::variant<FrontHeartbeat, LoadUpdate>;
+using FrontDatagram = std::variant<FrontHeartbeat, LoadUpdate, EngineGroupQuery, EngineGroupReport>;
 
 /// A row of one of the platform's tables, in the platform's format.
 struct StoredRow
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -44,10 +44,16 @@
 constexpr Duration ShortestHeartbeatInterval = 100ms;
 constexpr Duration LongestHeartbeatInterval = 450ms;
 
+/// Heartbeat interval with partial views.
+constexpr Duration PartialViewHeartbeatInterval = 500ms;
+
 /// Poll interval of the nodes' table. New nodes send heartbeats to all nodes they have found, so polling only finds
 /// nodes that were missed.
 constexpr Duration NodesPollInterval = 60s;
 
+/// With partial views: changes that occur within this time after the first one are sent in one heartbeat.
+constexpr Duration UrgentHeartbeatDelay = 20ms;
+
 /// A change of a server's load is sent at once, ahead of the next heartbeat, if it is at least this many tokens per peer. With 6
 /// peers this covers all but small prompts, with 68 peers prompts of 5,440 tokens and more; a node sends about 100 of these
 /// datagrams per second in fleets of either size.
@@ -69,6 +75,7 @@
     , m_link(link)
     , m_decoders(std::move(decoders))
     , m_incarnation(incarnation)
+    , m_groupLoads(state, link, incarnation)
 {
 }
 
@@ -90,11 +97,17 @@
     }
     for (const std::string &seed : m_state.settings.seeds) {
         if (const Result<Endpoint> address = parseEndpoint(seed); address && address->host != m_state.settings.peerAddress.host) {
-            m_state.peers.addAddress({address->host, m_state.settings.peerAddress.port}, m_state.clock.now());
+            m_state.peers.addAddress({{address->host, m_state.settings.peerAddress.port}, ZoneId()}, m_state.clock.now());
         }
     }
-    m_state.onLoadChanged = [this](const Backend &backend, std::int64_t tokens) {
-        sendLoadUpdate(backend, tokens);
+    m_state.onLoadChanged = [this](const Backend &backend, std::int64_t tokens, const std::vector<PromptPart> &prompt) {
+        sendLoadUpdate(backend, tokens, prompt);
+    };
+    m_state.onUrgentChange = [this] {
+        requestUrgentHeartbeat();
+    };
+    m_state.refreshGroupLoad = [this](EngineGroupQuery query) {
+        return m_groupLoads.refresh(std::move(query));
     };
     asio::co_spawn(loop, followTable(Table::Plan), asio::detached);
     asio::co_spawn(loop, followTable(Table::Servers), asio::detached);
@@ -110,7 +123,7 @@
     RowVersion &version = table == Table::Plan ? m_planReadVersion : m_serversReadVersion;
     Duration pause = FirstRetryPause;
     while (true) {
-        if (!m_state.peers.shouldReadStore(m_state.settings.zone, m_state.clock.now())) {
+        if (!m_state.peers.shouldReadStore(m_state.clock.now())) {
             // Heartbeats of the nodes that read the store report changes. If this node has to read again, it continues from here.
             version = table == Table::Plan ? std::max(version, m_planVersion) : std::max(version, m_serversVersion);
             m_storeCallFailed.at(static_cast<std::size_t>(table)) = false;
@@ -206,6 +219,7 @@
     m_state.metrics.increment(CounterFamily::Configurations, "adopted");
     m_planVersion = version;
     m_planText = text;
+    requestUrgentHeartbeat();
     m_state.plan = std::make_shared<RoutingPlan>(std::move(*plan));
     for (const Route &route : m_state.plan->routes()) {
         for (const ServiceWeight &serviceWeight : route.services) {
@@ -259,6 +273,7 @@
         LogEvent("servers.read").field("servers", records.size()).field("row_version", version);
     }
     m_state.serversLoaded = true;
+    requestUrgentHeartbeat();
     // Nodes compare row versions, since the store's own version also grows without a change of this table.
     for (const auto &[key, row] : m_serverRows) {
         m_serversVersion = std::max(m_serversVersion, row.version);
@@ -290,7 +305,7 @@
         co_return Failure(nodes.error());
     }
     const TimePoint now = m_state.clock.now();
-    const std::string ownAddress = m_state.settings.peerAddress.text();
+    const std::string ownAddress = PeerAddress{m_state.settings.peerAddress, m_state.settings.zone}.text();
     RowVersion ownVersion;
     bool registered = false;
     m_nodeAddresses.clear();
@@ -301,8 +316,8 @@
             registered = row.text == ownAddress;
             continue;
         }
-        if (const Result<Endpoint> address = parseEndpoint(row.text); address && *address != m_state.settings.peerAddress) {
-            m_state.peers.addAddress(*address, now);
+        if (const Result<PeerAddress> peer = parsePeerAddress(row.text)) {
+            m_state.peers.addAddress(*peer, now);
         }
     }
     if (registered || m_state.shuttingDown) {
@@ -329,6 +344,10 @@
         m_loopLag = (m_loopLag * 7 + lag) / 8;
         sendHeartbeat();
         updateRemoteLoad();
+        if (m_state.peers.usesPartialView() && m_state.clock.now() - m_loadsRepeatedAt >= ReportedLoads::RepeatInterval) {
+            m_loadsRepeatedAt = m_state.clock.now();
+            m_groupLoads.repeatReports();
+        }
         if (++heartbeats % HeartbeatsPerCleanup == 0) {
             removeExpired();
         }
@@ -337,6 +356,9 @@
 
 Duration FleetSynchronizer::heartbeatInterval(std::size_t peerCount) const
 {
+    if (m_state.peers.usesPartialView()) {
+        return PartialViewHeartbeatInterval;
+    }
     return std::clamp<Duration>(
         HeartbeatIntervalPerPeer * static_cast<int>(peerCount), ShortestHeartbeatInterval, LongestHeartbeatInterval);
 }
@@ -357,31 +379,53 @@
     heartbeat.planVersion = m_planVersion;
     heartbeat.serversVersion = m_serversVersion;
     heartbeat.timerLag = m_loopLag;
-    heartbeat.readsStore =
-        !m_storeCallFailed[0] && !m_storeCallFailed[1] && m_state.serversLoaded && m_state.peers.shouldReadStore(settings.zone, now);
-    for (const auto &[id, backend] : m_state.backends.all()) {
-        if (backend->localLoad.requests > 0) {
-            heartbeat.loads.push_back({id, backend->localLoad});
-        }
-    }
-    heartbeat.sentPrompts = std::exchange(m_state.sentPrompts, {});
+    heartbeat.readsStore = !m_storeCallFailed[0] && !m_storeCallFailed[1] && m_state.serversLoaded && m_state.peers.shouldReadStore(now);
+    addLoads(heartbeat);
     for (auto &[service, meter] : m_state.prefillRates) {
         heartbeat.prefillRates[service] = meter.perMillisecond(now);
     }
     for (auto &[service, meter] : m_state.eventRates) {
         heartbeat.eventRates[service] = meter.perMillisecond(now);
     }
-    std::erase_if(m_state.changingEngines, [now](const auto &entry) {
-        return entry.second <= now;
-    });
-    for (const auto &[engine, until] : m_state.changingEngines) {
-        heartbeat.changingEngines.push_back(engine);
-    }
+    addStageChanges(heartbeat);
     heartbeat.announcedPeers = m_state.peers.nextAnnouncedPeers(now);
-    heartbeat.crashRecords = m_state.crashTracker.localRecords(m_state.clock.now());
+    heartbeat.knownNodes = m_state.peers.countBudgetNodes(now);
+    const CoordinatorSighting coordinator = m_state.peers.coordinator(!m_state.shuttingDown, now);
+    heartbeat.coordinator = coordinator.node;
+    heartbeat.coordinatorAge = coordinator.age;
+    heartbeat.sightings = m_state.peers.sightings(now, m_state.random);
+    heartbeat.crashRecords = m_state.peers.usesPartialView() ? m_state.crashTracker.records(now) : m_state.crashTracker.localRecords(now);
     return heartbeat;
 }
 
+void FleetSynchronizer::addLoads(FrontHeartbeat &heartbeat)
+{
+    const bool partial = m_state.peers.usesPartialView();
+    for (const auto &[id, backend] : m_state.backends.all()) {
+        const bool reportedToStewards = partial && backend->record.stage != EngineStage::Any;
+        if (backend->localLoad.requests > 0 && !reportedToStewards) {
+            heartbeat.loads.push_back({id, backend->localLoad});
+        }
+    }
+    std::vector<SentPrompt> sentPrompts = std::exchange(m_state.sentPrompts, {});
+    if (!partial) {
+        heartbeat.sentPrompts = std::move(sentPrompts);
+    }
+}
+
+void FleetSynchronizer::addStageChanges(FrontHeartbeat &heartbeat)
+{
+    const TimePoint now = m_state.clock.now();
+    for (std::map<ReplicaId, TimePoint> *changes : {&m_state.changingEngines, &m_reportedStageChanges}) {
+        std::erase_if(*changes, [now](const auto &entry) {
+            return entry.second <= now;
+        });
+        for (const auto &[engine, until] : *changes) {
+            heartbeat.changingEngines.push_back({engine, std::chrono::duration_cast<std::chrono::milliseconds>(until - now)});
+        }
+    }
+}
+
 void FleetSynchronizer::sendHeartbeat()
 {
     sendToPeers(makeHeartbeat());
@@ -390,18 +434,40 @@
 void FleetSynchronizer::sendToPeers(const FrontDatagram &datagram)
 {
     const std::string datagramBytes = m_link.authenticate(encodeFrontDatagram(datagram));
-    for (const Endpoint &peer : m_state.peers.heartbeatAddresses(m_state.clock.now())) {
+    for (const Endpoint &peer : m_state.peers.heartbeatAddresses(m_state.clock.now(), m_state.random)) {
         m_link.sendDatagram(peer, datagramBytes);
     }
 }
 
-void FleetSynchronizer::sendLoadUpdate(const Backend &backend, std::int64_t tokens)
+void FleetSynchronizer::requestUrgentHeartbeat()
+{
+    if (m_urgentHeartbeatPending || !m_state.peers.usesPartialView()) {
+        return;
+    }
+    m_urgentHeartbeatPending = true;
+    asio::co_spawn(m_state.executor, sendUrgentHeartbeat(), asio::detached);
+}
+
+asio::awaitable<void> FleetSynchronizer::sendUrgentHeartbeat()
+{
+    co_await m_state.clock.sleep(UrgentHeartbeatDelay);
+    m_urgentHeartbeatPending = false;
+    sendHeartbeat();
+}
+
+void FleetSynchronizer::sendLoadUpdate(const Backend &backend, std::int64_t tokens, const std::vector<PromptPart> &prompt)
 {
+    if (m_state.peers.usesPartialView()) {
+        if (backend.record.stage != EngineStage::Any) {
+            m_groupLoads.report(backend, prompt);
+        }
+        return;
+    }
     const std::size_t peers = m_state.peers.countBudgetNodes(m_state.clock.now()) - 1;
     if (peers == 0 || tokens < MinLoadUpdateTokensPerPeer * static_cast<std::int64_t>(peers)) {
         return;
     }
-    sendToPeers(LoadUpdate{m_incarnation, ++m_sequence, m_state.settings.peerAddress, {backend.record.id, backend.localLoad}});
+    sendToPeers(LoadUpdate{m_incarnation, ++m_sequence, m_state.settings.peerAddress, {backend.record.id, backend.localLoad}, {}});
 }
 
 void FleetSynchronizer::announceShutdown()
@@ -423,8 +489,22 @@
         *datagram);
 }
 
+void FleetSynchronizer::handleMessage(const EngineGroupQuery &query)
+{
+    m_groupLoads.handleQuery(query);
+}
+
+void FleetSynchronizer::handleMessage(const EngineGroupReport &report)
+{
+    m_groupLoads.handleReport(report);
+}
+
 void FleetSynchronizer::handleMessage(const LoadUpdate &update)
 {
+    if (m_state.peers.usesPartialView()) {
+        m_groupLoads.handleUpdate(update);
+        return;
+    }
     if (!m_state.peers.recordLoadUpdate(update)) {
         m_state.metrics.increment(CounterFamily::Peers, "notice_old");
         return;
@@ -441,25 +521,43 @@
         m_state.metrics.increment(CounterFamily::Peers, "beat_repeated");
         return;
     }
-    for (const Endpoint &address : heartbeat.announcedPeers) {
-        if (address != m_state.settings.peerAddress) {
-            m_state.peers.addAddress(address, now);
-        }
+    for (const PeerAddress &peer : heartbeat.announcedPeers) {
+        m_state.peers.addAddress(peer, now);
     }
     for (const SentPrompt &sentPrompt : heartbeat.sentPrompts) {
         if (const BackendPointer engine = m_state.backends.find(sentPrompt.replica)) {
             engine->cache.recordPrompt(sentPrompt.prompt);
         }
     }
-    for (const ReplicaId &id : heartbeat.changingEngines) {
-        if (const BackendPointer engine = m_state.backends.find(id); engine && now - engine->stageChangedAt > StageChangeHold) {
+    recordStageChanges(heartbeat.changingEngines);
+    if (!heartbeat.crashRecords.empty() && m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now)) {
+        requestUrgentHeartbeat();
+    }
+    catchUpIfBehind(now);
+}
+
+void FleetSynchronizer::recordStageChanges(const std::vector<EngineStageChange> &changes)
+{
+    const TimePoint now = m_state.clock.now();
+    const bool partial = m_state.peers.usesPartialView();
+    for (const EngineStageChange &change : changes) {
+        const BackendPointer engine = m_state.backends.find(change.engine);
+        if (!engine || now - engine->stageChangedAt <= StageChangeHold || m_state.changingEngines.contains(change.engine)) {
+            continue;
+        }
+        if (!partial) {
             engine->stageChangeUntil = now + StageChangeHold;
+            continue;
+        }
+        // Each node that passes a change on adds the delay of its message, so only a considerably later end is a new change.
+        const TimePoint until = now + change.remaining;
+        TimePoint &known = m_reportedStageChanges[change.engine];
+        if (until - known > StageChangeHold) {
+            known = until;
+            engine->stageChangeUntil = until;
+            requestUrgentHeartbeat();
         }
     }
-    if (!heartbeat.crashRecords.empty()) {
-        m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now);
-    }
-    catchUpIfBehind(now);
 }
 
 void FleetSynchronizer::catchUpIfBehind(TimePoint now)
@@ -472,7 +570,7 @@
     if (!m_behindSince) {
         m_behindSince = now;
     }
-    const bool readsFromPeers = !m_state.peers.shouldReadStore(m_state.settings.zone, now);
+    const bool readsFromPeers = !m_state.peers.shouldReadStore(now);
     if ((readsFromPeers || now - *m_behindSince >= CatchUpDelay) && !m_catchingUp) {
         m_catchingUp = true;
         asio::co_spawn(m_state.executor, catchUp(*peer), asio::detached);
@@ -498,8 +596,8 @@
             m_serversReadVersion = std::max(m_serversReadVersion, snapshot->serversVersion);
         }
         for (const StoredRow &row : snapshot->nodes) {
-            if (const Result<Endpoint> address = parseEndpoint(row.text); address && *address != m_state.settings.peerAddress) {
-                m_state.peers.addAddress(*address, m_state.clock.now());
+            if (const Result<PeerAddress> node = parsePeerAddress(row.text)) {
+                m_state.peers.addAddress(*node, m_state.clock.now());
             }
         }
     }
@@ -532,6 +630,9 @@
     const TimePoint now = m_state.clock.now();
     const std::map<ReplicaId, BackendLoad> loads = m_state.peers.remoteLoad(now);
     for (const auto &[id, backend] : m_state.backends.all()) {
+        if (m_state.peers.usesPartialView() && backend->record.stage != EngineStage::Any) {
+            continue; // Updated for each prompt, see EngineGroupLoads.
+        }
         const auto found = loads.find(id);
         backend->remoteLoad = found == loads.end() ? BackendLoad() : found->second;
     }
--- a/src/app/front.cpp
+++ b/src/app/front.cpp
@@ -233,7 +233,7 @@
         if (m_state.isReady() || (nodes.empty() && !m_state.shuttingDown)) {
             nodes.push_back({m_state.settings.callerAddress, m_state.settings.zone});
         }
-        return {chooseAddresses(nodes, zone), m_state.settings.directoryTtl};
+        return {chooseAddresses(nodes, zone, m_state.settings.node), m_state.settings.directoryTtl};
     }
 
     void awaitSignal()
--- a/src/app/front_settings.cpp
+++ b/src/app/front_settings.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr NumberRange LogLinesPerSecondRange{1, 100'000};
+constexpr NumberRange MaxFullMeshNodesRange{1, 1'000};
 
 Duration seconds(double count)
 {
@@ -26,6 +27,8 @@
     settings.gracePeriod = seconds(root.realOr("grace_s", 8));
     settings.directoryTtl = std::chrono::milliseconds(static_cast<std::int64_t>(1000 * root.realOr("directory_ttl_s", 1)));
     settings.memoryLimitMegabytes = static_cast<std::size_t>(root.realOr("memory_megabytes", 256));
+    settings.maxFullMeshNodes = static_cast<std::size_t>(
+        root.numberOr("max_full_mesh_nodes", MaxFullMeshNodesRange, static_cast<std::int64_t>(settings.maxFullMeshNodes)));
     settings.logLinesPerSecond = static_cast<std::size_t>(root.numberOr("log_lines_per_second", LogLinesPerSecondRange, 100));
 }
 
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +27,9 @@
 /// The deadline is this long before the end of the request's time limit, so that the response reaches the caller in time.
 constexpr Duration DeadlineMargin = 15ms;
 
+/// Groups of engines that are tried for a prompt before it is refused.
+constexpr std::size_t MaxGroupsTried = 2;
+
 /// Share of the remaining time after which an unanswered request of a safe route is sent to another server.
 constexpr double SafeAnswerTimeoutShare = 0.4;
 
@@ -117,12 +121,68 @@
     request.zone = m_state.settings.zone;
     request.triedServers = m_triedServers;
     const std::vector<BackendPointer> servers = m_state.backends.selectUsable(m_serviceId, now);
-    if (m_service != nullptr && m_service->engine && m_request.prompt) {
-        request.parts = m_request.prompt->parts;
-        request.promptTokens = m_request.prompt->promptTokens;
-        return m_state.placementPlanner.selectEngines(servers, request, *m_service->engine, now);
+    if (!isPrompt()) {
+        return m_state.placementPlanner.selectServer(servers, request, now);
+    }
+    request.parts = m_request.prompt->parts;
+    request.promptTokens = m_request.prompt->promptTokens;
+    if (!m_groups.empty()) {
+        Placement placement = m_state.placementPlanner.selectEngines(usableInGroup(servers), request, *m_service->engine, now);
+        if (placement.server) {
+            return placement;
+        }
     }
-    return m_state.placementPlanner.selectServer(servers, request, now);
+    return m_state.placementPlanner.selectEngines(servers, request, *m_service->engine, now);
+}
+
+bool RequestForwarder::isPrompt() const
+{
+    return m_service != nullptr && m_service->engine && m_request.prompt;
+}
+
+asio::awaitable<void> RequestForwarder::refreshGroupLoad()
+{
+    m_groups.clear();
+    if (!isPrompt() || !m_state.peers.usesPartialView() || !m_state.refreshGroupLoad) {
+        co_return;
+    }
+    const std::vector<PromptPart> &parts = m_request.prompt->parts;
+    const std::vector<EngineGroup> &groups = m_state.engineGroups.groups(m_serviceId);
+    for (const std::size_t index : rankGroups(groups, promptAffinityKey(parts))) {
+        m_groups.push_back(groups[index].name);
+    }
+    if (m_groups.empty()) {
+        co_return;
+    }
+    m_groupRank = std::min(m_groupRank, m_groups.size() - 1);
+    EngineGroupQuery query;
+    query.service = m_serviceId;
+    query.group = m_groups[m_groupRank];
+    query.prompt = parts;
+    co_await m_state.refreshGroupLoad(std::move(query));
+}
+
+std::vector<BackendPointer> RequestForwarder::usableInGroup(const std::vector<BackendPointer> &servers)
+{
+    const EngineGroup *group = m_groups.empty() ? nullptr : m_state.engineGroups.find(m_serviceId, m_groups[m_groupRank]);
+    if (group == nullptr) {
+        return servers;
+    }
+    std::vector<BackendPointer> usable;
+    const std::set<BackendPointer> members(group->engines.begin(), group->engines.end());
+    std::ranges::copy_if(servers, std::back_inserter(usable), [&members](const BackendPointer &server) {
+        return members.contains(server);
+    });
+    return usable.empty() ? servers : usable;
+}
+
+bool RequestForwarder::tryNextGroup()
+{
+    if (m_groupRank + 1 >= std::min(m_groups.size(), MaxGroupsTried)) {
+        return false;
+    }
+    ++m_groupRank;
+    return true;
 }
 
 bool RequestForwarder::exceedsWaitLimit(const Placement &placement) const
@@ -168,10 +228,14 @@
 asio::awaitable<void> RequestForwarder::sendUntilDone()
 {
     while (!m_finished) {
+        co_await refreshGroupLoad();
         const Placement placement = selectPlacement();
         m_lastPlacement = placement;
         BackendPointer server = placement.server;
         if (server && m_attemptsSent == 0 && exceedsWaitLimit(placement)) {
+            if (tryNextGroup()) {
+                continue;
+            }
             refuse(RefusalReason::Overloaded);
             break;
         }
@@ -184,7 +248,8 @@
         if (m_kvLocation) {
             // During the prefill, engines may have started to drain and loads may have changed.
             const TimePoint now = m_state.clock.now();
-            server = m_state.placementPlanner.selectDecodeEngine(m_state.backends.selectUsable(m_serviceId, now), m_triedServers, now);
+            const std::vector<BackendPointer> usable = usableInGroup(m_state.backends.selectUsable(m_serviceId, now));
+            server = m_state.placementPlanner.selectDecodeEngine(usable, m_triedServers, now);
         }
         if (!server) {
             m_triedServers.empty() ? refuse(RefusalReason::NoServer) : refuse(RefusalReason::ServersFull);
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -32,27 +32,31 @@
 /// State of one attempt at one server. Counts the request in this node's load on the server until destruction.
 struct RequestForwarder::ActiveAttempt
 {
-    ActiveAttempt(FrontState &node, BackendPointer server, std::int64_t tokens)
+    ActiveAttempt(FrontState &node, BackendPointer server, std::int64_t tokens, const std::vector<PromptPart> &prompt)
         : state(node)
         , backend(std::move(server))
         , tokensToPrefill(tokens)
     {
         backend->localLoad.requests += 1;
         backend->localLoad.promptTokens += tokensToPrefill;
-        state.notifyLoadChanged(*backend, tokensToPrefill);
+        state.notifyLoadChanged(*backend, tokensToPrefill, prompt);
     }
     ActiveAttempt(const ActiveAttempt &) = delete;
     ActiveAttempt &operator=(const ActiveAttempt &) = delete;
     ~ActiveAttempt()
     {
-        removePromptTokens();
         backend->localLoad.requests -= 1;
+        backend->localLoad.promptTokens -= tokensToPrefill;
+        state.notifyLoadChanged(*backend, tokensToPrefill);
     }
 
     /// Removes the prompt tokens from the server's load once the prefill is done.
     void removePromptTokens()
     {
         const std::int64_t prefilled = std::exchange(tokensToPrefill, 0);
+        if (prefilled == 0) {
+            return;
+        }
         backend->localLoad.promptTokens -= prefilled;
         state.notifyLoadChanged(*backend, prefilled);
     }
@@ -73,7 +77,8 @@
     BackendPointer backend, AttemptOptions options, std::int64_t tokensToPrefill, Duration answerTimeout)
 {
     const TimePoint now = m_state.clock.now();
-    ActiveAttempt activeAttempt(m_state, backend, tokensToPrefill);
+    const std::vector<PromptPart> prompt = m_request.prompt ? m_request.prompt->parts : std::vector<PromptPart>();
+    ActiveAttempt activeAttempt(m_state, backend, tokensToPrefill, prompt);
     activeAttempt.prefillOnly = options.prefillOnly;
     activeAttempt.startedAt = now;
     activeAttempt.lastReceivedAt = now;
--- a/src/app/stage_controller.cpp
+++ b/src/app/stage_controller.cpp
@@ -161,6 +161,7 @@
     engine->stageChangeUntil = now + pending.stageChangeTime + StageChangeMargin;
     engine->orderedStage = pending.change.stage;
     m_state.changingEngines[pending.change.engine] = engine->stageChangeUntil;
+    m_state.notifyUrgentChange();
     return engine;
 }
 
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -40,6 +40,11 @@
     return ContentHash(static_cast<std::int64_t>(XXH3_64bits(text.data(), text.size())));
 }
 
+std::uint64_t rendezvousScore(std::uint64_t key, std::string_view candidate) noexcept
+{
+    return XXH3_64bits_withSeed(candidate.data(), candidate.size(), key);
+}
+
 std::string generateUniqueId()
 {
     std::array<unsigned char, UniqueIdBytes> bytes{};
--- a/src/coordination/crash_tracker.cpp
+++ b/src/coordination/crash_tracker.cpp
@@ -101,30 +101,47 @@
 }
 
 std::vector<CrashRecord> CrashTracker::localRecords(TimePoint now) const
+{
+    return selectRecords(now, true);
+}
+
+std::vector<CrashRecord> CrashTracker::records(TimePoint now) const
+{
+    return selectRecords(now, false);
+}
+
+std::vector<CrashRecord> CrashTracker::selectRecords(TimePoint now, bool onlyLocal) const
 {
     const std::lock_guard lock(m_mutex);
     std::vector<CrashRecord> records;
     for (const auto &[content, record] : m_records) {
-        if (record.local && now < record.expiresAt) {
+        if ((record.local || !onlyLocal) && now < record.expiresAt) {
             records.push_back({content, record.crashes, std::chrono::duration_cast<std::chrono::milliseconds>(record.expiresAt - now)});
         }
     }
     return records;
 }
 
-void CrashTracker::mergeRecords(const std::vector<CrashRecord> &records, TimePoint now)
+bool CrashTracker::mergeRecords(const std::vector<CrashRecord> &records, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     removeExpired(now);
+    bool changed = false;
     for (const CrashRecord &reported : records) {
         const auto found = m_records.find(reported.content);
-        const bool clearedHere = found != m_records.end() && found->second.crashes == 0;
+        const bool cleared = found != m_records.end() && found->second.crashes == 0;
         if (reported.crashes == 0) {
-            m_records.erase(reported.content);
-        } else if (!clearedHere && crashCount(reported.content, now) < reported.crashes) {
+            // The clearance is kept, since the record that it clears may still arrive from a third node.
+            if (found != m_records.end() && !cleared) {
+                found->second = {0, now + reported.remaining, false};
+                changed = true;
+            }
+        } else if (!cleared && crashCount(reported.content, now) < reported.crashes) {
             m_records[reported.content] = {reported.crashes, now + reported.remaining, false};
+            changed = true;
         }
     }
+    return changed;
 }
 
 bool CrashTracker::release(ContentHash content, TimePoint now)
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -1,6 +1,9 @@
 #include "apricotarch/coordination/peer_table.h"
 
 #include <algorithm>
+#include <iterator>
+
+#include "apricotarch/coordination/heartbeat_targets.h"
 
 namespace apricotarch
 {
@@ -15,32 +18,67 @@
 /// every node receives addresses from the 68 others.
 constexpr std::size_t AnnouncedPeers = 3;
 
+/// The same with partial views, if there are no new peers to announce.
+constexpr std::size_t PartialViewAnnouncedPeers = 1;
+
 /// If fewer live peers than this read the store, every node reads it itself.
 constexpr std::size_t MinStoreReaders = 2;
 
+/// With partial views: a node waits for the first time, in which its view may be outdated, and for the second one for each node before
+/// it in its availability zone until it replaces a missing reader of the store; in all for at most MaxReplacementDelay.
+constexpr Duration MinReplacementDelay = std::chrono::seconds(1);
+constexpr Duration ReplacementDelayPerNode = std::chrono::milliseconds(100);
+constexpr Duration MaxReplacementDelay = std::chrono::seconds(4);
+
+/// Sightings older than this are not passed on; the node itself or another node has a newer one.
+constexpr Duration MaxSightingAge = std::chrono::milliseconds(750);
+
+/// Sightings in each heartbeat. They take 5 bytes each.
+constexpr std::size_t MaxSightings = 30;
+
+/// Heartbeats in which a node announces a peer that it has just found. With five receivers each, practically all nodes learn of it.
+constexpr int RumorsPerPeer = 4;
+
+/// With partial views, nodes without signs of life receive every fourth heartbeat, so that partitioned nodes are found again.
+constexpr std::size_t HeartbeatsPerProbe = 4;
+
 } // namespace
 
-PeerTable::PeerTable(NodeId self, PeerTimeouts timeouts)
+PeerTable::PeerTable(PeerIdentity self, PeerTimeouts timeouts, std::size_t maxFullMeshNodes)
     : m_self(std::move(self))
     , m_timeouts(timeouts)
+    , m_maxFullMeshNodes(maxFullMeshNodes)
+    , m_coordinator(m_self.node)
 {
 }
 
-void PeerTable::addAddress(const Endpoint &peerAddress, TimePoint now)
+// ---- changes ----
+
+void PeerTable::addAddress(const PeerAddress &peer, TimePoint now)
 {
-    const auto [entry, added] = m_peers.try_emplace(peerAddress);
+    if (peer.address == m_self.peerAddress) {
+        return;
+    }
+    const auto [entry, added] = m_peers.try_emplace(peer.address);
     if (added) {
-        entry->second.address = peerAddress;
+        entry->second.address = peer.address;
+        entry->second.addressHash = peerAddressHash(peer.address);
         entry->second.addedAt = now;
+        entry->second.rumorsLeft = RumorsPerPeer;
+        m_peerByHash[entry->second.addressHash] = &entry->second;
+    }
+    entry->second.mentionedAt = now;
+    if (!peer.zone.empty()) {
+        entry->second.zone = peer.zone;
     }
 }
 
 bool PeerTable::recordHeartbeat(const FrontHeartbeat &heartbeat, TimePoint now)
 {
-    if (heartbeat.node == m_self) {
+    if (heartbeat.node == m_self.node) {
         return false;
     }
-    addAddress(heartbeat.peerAddress, now);
+    addAddress({heartbeat.peerAddress, heartbeat.zone}, now);
     PeerEntry &peer = m_peers[heartbeat.peerAddress];
     const bool sameIncarnation =
         peer.lastHeartbeatAt && peer.heartbeat.node == heartbeat.node && peer.heartbeat.incarnation == heartbeat.incarnation;
@@ -49,10 +87,46 @@
         return false;
     }
     peer.heartbeat = heartbeat;
+    peer.heartbeat.sightings.clear();
     peer.lastHeartbeatAt = now;
+    peer.lastSignAt = now;
+    peer.ready = heartbeat.ready;
+    peer.shuttingDown = heartbeat.shuttingDown;
+    peer.readsStore = heartbeat.readsStore;
+    recordSightings(heartbeat, now);
+    m_coordinator.record({heartbeat.coordinator, heartbeat.coordinatorAge}, now);
+    if (heartbeat.shuttingDown) {
+        m_coordinator.remove(heartbeat.node);
+    } else {
+        m_coordinator.record({heartbeat.node, std::chrono::milliseconds(0)}, now);
+    }
     return true;
 }
 
+void PeerTable::recordSightings(const FrontHeartbeat &heartbeat, TimePoint now)
+{
+    if (heartbeat.zone != m_self.zone) {
+        return;
+    }
+    for (const PeerSighting &sighting : heartbeat.sightings) {
+        const auto found = m_peerByHash.find(sighting.addressHash);
+        if (found == m_peerByHash.end()) {
+            continue;
+        }
+        PeerEntry &peer = *found->second;
+        const TimePoint signAt = now - sighting.age;
+        if (peer.lastSignAt && signAt <= *peer.lastSignAt) {
+            continue;
+        }
+        peer.zone = m_self.zone;
+        peer.lastSignAt = signAt;
+        peer.mentionedAt = now;
+        peer.ready = sighting.ready;
+        peer.shuttingDown = sighting.shuttingDown;
+        peer.readsStore = sighting.readsStore;
+    }
+}
+
 bool PeerTable::recordLoadUpdate(const LoadUpdate &update)
 {
     const auto found = m_peers.find(update.peerAddress);
@@ -75,16 +149,66 @@
     return true;
 }
 
-bool PeerTable::hasRecentHeartbeat(const PeerEntry &peer, Duration time, TimePoint now) const
+void PeerTable::removeSilent(TimePoint now)
+{
+    const bool partial = usesPartialView();
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const PeerEntry &peer = entry.second;
+        const bool removed = partial ? now - peer.mentionedAt > m_timeouts.partialRemovalTimeout
+                                     : now - peer.lastHeartbeatAt.value_or(peer.addedAt) > m_timeouts.removalTimeout;
+        if (removed) {
+            m_peerByHash.erase(peer.addressHash);
+        }
+        return removed;
+    });
+}
+
+// ---- membership ----
+
+bool PeerTable::usesPartialView() const noexcept
+{
+    return m_peers.size() + 1 > m_maxFullMeshNodes;
+}
+
+bool PeerTable::hasRecentHeartbeat(const PeerEntry &peer, Duration time, TimePoint now)
 {
     return peer.lastHeartbeatAt && now - *peer.lastHeartbeatAt <= time;
 }
 
+bool PeerTable::isLive(const PeerEntry &peer, TimePoint now) const
+{
+    const Duration timeout = usesPartialView() ? m_timeouts.partialListTimeout : m_timeouts.listTimeout;
+    return peer.lastSignAt && now - *peer.lastSignAt <= timeout;
+}
+
+bool PeerTable::isInOwnZone(const PeerEntry &peer) const
+{
+    return peer.zone == m_self.zone;
+}
+
+bool PeerTable::isKnownDead(const PeerEntry &peer, TimePoint now) const
+{
+    // Signs of life of nodes of other zones arrive only now and then.
+    return isInOwnZone(peer) && peer.lastSignAt && !isLive(peer, now);
+}
+
+std::vector<Endpoint> PeerTable::knownAddresses(TimePoint now) const
+{
+    std::vector<Endpoint> addresses;
+    for (const auto &[address, peer] : m_peers) {
+        if (!usesPartialView() || !(isKnownDead(peer, now) || peer.shuttingDown)) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 std::vector<NodeAddress> PeerTable::callerAddresses(TimePoint now) const
 {
     std::vector<NodeAddress> addresses;
     for (const auto &[address, peer] : m_peers) {
-        if (hasRecentHeartbeat(peer, m_timeouts.listTimeout, now) && peer.heartbeat.ready && !peer.heartbeat.shuttingDown) {
+        // A node's address for callers is known only from its own heartbeats.
+        if (peer.lastHeartbeatAt && isLive(peer, now) && peer.ready && !peer.shuttingDown) {
             addresses.push_back({peer.heartbeat.callerAddress, peer.heartbeat.zone});
         }
     }
@@ -93,42 +217,91 @@
 
 std::size_t PeerTable::countBudgetNodes(TimePoint now) const
 {
-    const auto otherNodes = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-        return hasRecentHeartbeat(entry.second, m_timeouts.removalTimeout, now) || now - entry.second.addedAt <= m_timeouts.loadTimeout;
-    });
-    return static_cast<std::size_t>(otherNodes) + 1;
+    std::size_t otherNodes = 0;
+    std::size_t knownElsewhere = 0;
+    for (const auto &[address, peer] : m_peers) {
+        const bool recent = hasRecentHeartbeat(peer, m_timeouts.removalTimeout, now);
+        otherNodes += usesPartialView() || recent || now - peer.addedAt <= m_timeouts.loadTimeout ? 1 : 0;
+        if (hasRecentHeartbeat(peer, m_timeouts.loadTimeout, now)) {
+            knownElsewhere = std::max(knownElsewhere, peer.heartbeat.knownNodes);
+        }
+    }
+    return knownElsewhere > m_maxFullMeshNodes ? std::max(otherNodes + 1, knownElsewhere) : otherNodes + 1;
 }
 
-std::vector<Endpoint> PeerTable::heartbeatAddresses(TimePoint now) const
+std::vector<Endpoint> PeerTable::heartbeatAddresses(TimePoint now, std::mt19937_64 &random)
 {
+    if (usesPartialView()) {
+        std::vector<HeartbeatCandidate> candidates;
+        for (const auto &[address, peer] : m_peers) {
+            const bool isNew = !peer.lastSignAt && now - peer.addedAt <= m_timeouts.partialListTimeout;
+            candidates.push_back({address, peer.addressHash, isInOwnZone(peer), isNew || isLive(peer, now)});
+        }
+        const bool includeSkipped = ++m_heartbeats % HeartbeatsPerProbe == 0;
+        return selectHeartbeatTargets(candidates, peerAddressHash(m_self.peerAddress), HeartbeatFanout(), includeSkipped, random);
+    }
     std::vector<Endpoint> addresses;
     for (const auto &[address, peer] : m_peers) {
-        const bool recent = peer.lastHeartbeatAt ? now - *peer.lastHeartbeatAt <= m_timeouts.removalTimeout
-                                                 : now - peer.addedAt <= m_timeouts.removalTimeout;
-        if (recent) {
+        if (now - peer.lastHeartbeatAt.value_or(peer.addedAt) <= m_timeouts.removalTimeout) {
             addresses.push_back(address);
         }
     }
     return addresses;
 }
 
-std::vector<Endpoint> PeerTable::nextAnnouncedPeers(TimePoint now)
+std::vector<PeerSighting> PeerTable::sightings(TimePoint now, std::mt19937_64 &random) const
 {
-    std::vector<Endpoint> addresses;
+    std::vector<PeerSighting> sightings;
+    if (!usesPartialView()) {
+        return sightings;
+    }
+    for (const auto &[address, peer] : m_peers) {
+        if (isInOwnZone(peer) && peer.lastSignAt && now - *peer.lastSignAt <= MaxSightingAge) {
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *peer.lastSignAt);
+            sightings.push_back({peer.addressHash, age, peer.ready, peer.shuttingDown, peer.readsStore});
+        }
+    }
+    std::vector<PeerSighting> chosen;
+    std::sample(sightings.begin(), sightings.end(), std::back_inserter(chosen), MaxSightings, random);
+    return chosen;
+}
+
+void PeerTable::addRumors(std::vector<PeerAddress> &peers)
+{
+    for (auto &[address, peer] : m_peers) {
+        if (peers.size() == AnnouncedPeers) {
+            return;
+        }
+        if (peer.rumorsLeft > 0) {
+            --peer.rumorsLeft;
+            peers.push_back({address, peer.zone});
+        }
+    }
+}
+
+std::vector<PeerAddress> PeerTable::nextAnnouncedPeers(TimePoint now)
+{
+    std::vector<PeerAddress> peers;
+    if (usesPartialView()) {
+        addRumors(peers);
+    }
     auto entry = m_peers.upper_bound(m_lastAnnounced);
-    for (std::size_t visited = 0; visited < m_peers.size() && addresses.size() < AnnouncedPeers; ++visited) {
+    const std::size_t count = std::max(peers.size(), usesPartialView() ? PartialViewAnnouncedPeers : AnnouncedPeers);
+    for (std::size_t visited = 0; visited < m_peers.size() && peers.size() < count; ++visited) {
         if (entry == m_peers.end()) {
             entry = m_peers.begin();
         }
-        if (hasRecentHeartbeat(entry->second, m_timeouts.listTimeout, now) && !entry->second.heartbeat.shuttingDown) {
-            addresses.push_back(entry->first);
+        if (isLive(entry->second, now) && !entry->second.shuttingDown) {
+            peers.push_back({entry->first, entry->second.zone});
             m_lastAnnounced = entry->first;
         }
         ++entry;
     }
-    return addresses;
+    return peers;
 }
 
+// ---- reports of other nodes ----
+
 std::map<ReplicaId, BackendLoad> PeerTable::remoteLoad(TimePoint now) const
 {
     std::map<ReplicaId, BackendLoad> loads;
@@ -162,25 +335,46 @@
 double PeerTable::remoteRate(std::map<ServiceId, double> FrontHeartbeat::*rates, const ServiceId &service, TimePoint now) const
 {
     double rate = 0;
+    std::size_t reporting = 0;
     for (const auto &[address, peer] : m_peers) {
+        if (!hasRecentHeartbeat(peer, m_timeouts.loadTimeout, now)) {
+            continue;
+        }
+        ++reporting;
         const std::map<ServiceId, double> &reported = peer.heartbeat.*rates;
         const auto found = reported.find(service);
-        if (hasRecentHeartbeat(peer, m_timeouts.loadTimeout, now) && found != reported.end()) {
-            rate += found->second;
-        }
+        rate += found == reported.end() ? 0 : found->second;
     }
-    return rate;
+    if (!usesPartialView() || reporting == 0) {
+        return rate;
+    }
+    return rate * static_cast<double>(m_peers.size()) / static_cast<double>(reporting);
 }
 
+// ---- duties ----
+
 bool PeerTable::isStageController(TimePoint now) const
 {
+    if (usesPartialView()) {
+        return m_coordinator.current(true, now).node == m_self.node;
+    }
     return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
         const PeerEntry &peer = entry.second;
-        return hasRecentHeartbeat(peer, m_timeouts.loadTimeout, now) && !peer.heartbeat.shuttingDown && peer.heartbeat.node < m_self;
+        return hasRecentHeartbeat(peer, m_timeouts.loadTimeout, now) && !peer.heartbeat.shuttingDown && peer.heartbeat.node < m_self.node;
     });
 }
 
-bool PeerTable::shouldReadStore(const ZoneId &zone, TimePoint now) const
+CoordinatorSighting PeerTable::coordinator(bool eligible, TimePoint now) const
+{
+    return m_coordinator.current(eligible, now);
+}
+
+bool PeerTable::shouldReadStore(TimePoint now)
+{
+    return usesPartialView() ? shouldReadStoreInPartialView(now) : shouldReadStoreInMesh(now);
+}
+
+bool PeerTable::shouldReadStoreInMesh(TimePoint now) const
 {
     std::size_t precedingInZone = 0;
     std::size_t storeReaders = 0;
@@ -188,12 +382,35 @@
         if (!hasRecentHeartbeat(peer, m_timeouts.listTimeout, now) || peer.heartbeat.shuttingDown) {
             continue;
         }
-        precedingInZone += peer.heartbeat.zone == zone && peer.heartbeat.node < m_self ? 1 : 0;
+        precedingInZone += isInOwnZone(peer) && peer.heartbeat.node < m_self.node ? 1 : 0;
         storeReaders += peer.heartbeat.readsStore ? 1 : 0;
     }
     return precedingInZone < StoreReadersPerZone || storeReaders < MinStoreReaders;
 }
 
+bool PeerTable::shouldReadStoreInPartialView(TimePoint now)
+{
+    std::size_t precedingNodes = 0;
+    std::size_t precedingReaders = 0;
+    for (const auto &[address, peer] : m_peers) {
+        if (!isInOwnZone(peer) || !isLive(peer, now) || peer.shuttingDown || m_self.peerAddress < address) {
+            continue;
+        }
+        ++precedingNodes;
+        precedingReaders += peer.readsStore ? 1 : 0;
+    }
+    if (precedingReaders >= StoreReadersPerZone) {
+        m_readersMissingSince.reset();
+        return false;
+    }
+    if (!m_readersMissingSince) {
+        m_readersMissingSince = now;
+    }
+    const Duration delay =
+        std::min<Duration>(MinReplacementDelay + ReplacementDelayPerNode * static_cast<int>(precedingNodes), MaxReplacementDelay);
+    return precedingNodes < StoreReadersPerZone || now - *m_readersMissingSince >= delay;
+}
+
 std::optional<Endpoint> PeerTable::findPeerWithNewerRows(RowVersion plan, RowVersion servers, TimePoint now) const
 {
     const PeerEntry *best = nullptr;
@@ -209,12 +426,4 @@
     return best == nullptr ? std::nullopt : std::optional<Endpoint>(best->address);
 }
 
-void PeerTable::removeSilent(TimePoint now)
-{
-    std::erase_if(m_peers, [&](const auto &entry) {
-        const PeerEntry &peer = entry.second;
-        return now - peer.lastHeartbeatAt.value_or(peer.addedAt) > m_timeouts.removalTimeout;
-    });
-}
-
 } // namespace apricotarch
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -28,11 +28,6 @@
 /// The rank penalty does not grow beyond this rank: engines ranked lower do not have the prompt's parts cached.
 constexpr std::size_t MaxPenalizedRank = 4;
 
-double rendezvousHash(std::uint64_t prompt, const ReplicaId &engine)
-{
-    return static_cast<double>(contentHash(engine.value() + std::to_string(prompt)).value());
-}
-
 /// Returns the number of tokens of all parts but the last one, which only this request has.
 std::int64_t sharedTokens(const std::vector<PromptPart> &parts)
 {
@@ -43,8 +38,9 @@
     return tokens;
 }
 
-/// Returns the key that ranks the engines for a prompt: the id of its last part that other requests share.
-std::uint64_t affinityKey(const std::vector<PromptPart> &parts)
+} // namespace
+
+std::uint64_t promptAffinityKey(const std::vector<PromptPart> &parts)
 {
     if (parts.empty()) {
         return 0;
@@ -52,8 +48,6 @@
     return parts.size() == 1 ? parts.front().id : parts[parts.size() - 2].id;
 }
 
-} // namespace
-
 std::vector<BackendPointer> selectCandidates(
     const std::vector<BackendPointer> &servers, const std::set<ReplicaId> &triedServers, TimePoint now)
 {
@@ -215,14 +209,14 @@
         auto &list = cached.engine->record.stage == EngineStage::Prefill ? prefillCandidates : decodeCandidates;
         list.push_back(evaluateCandidate(cached, sources, request, spec));
     }
-    const std::uint64_t key = affinityKey(request.parts);
+    const std::uint64_t key = promptAffinityKey(request.parts);
     const double penaltyPerRankMs = m_costs.rankPenaltyMs * static_cast<double>(sharedTokens(request.parts)) / RankPenaltyTokens;
     const auto byCost = [](const Candidate &left, const Candidate &right) {
         return left.cost < right.cost;
     };
     const auto addRankPenalties = [&](std::vector<Candidate> &list) {
         std::sort(list.begin(), list.end(), [&](const Candidate &left, const Candidate &right) {
-            return rendezvousHash(key, left.engine->record.id) > rendezvousHash(key, right.engine->record.id);
+            return rendezvousScore(key, left.engine->record.id.value()) > rendezvousScore(key, right.engine->record.id.value());
         });
         for (std::size_t rank = 0; rank < list.size(); ++rank) {
             list[rank].cost += penaltyPerRankMs * static_cast<double>(std::min(rank, MaxPenalizedRank));
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "apricotarch/protocol/sighting_codec.h"
 #include "apricotarch/protocol/thrift_bytes.h"
 
 #include "peer_types.h"
@@ -26,6 +27,27 @@
     return {ReplicaId(entry.replica), {entry.requests, entry.promptTokens}};
 }
 
+/// Writes a prompt to the two lists of a message that hold its parts.
+template<typename Message>
+void writePrompt(Message &message, const std::vector<PromptPart> &prompt)
+{
+    for (const PromptPart &part : prompt) {
+        message.partIds.push_back(static_cast<std::int64_t>(part.id));
+        message.partTokens.push_back(static_cast<std::int32_t>(part.tokens));
+    }
+}
+
+/// Reads a prompt from the two lists of a message that hold its parts.
+template<typename Message>
+std::vector<PromptPart> readPrompt(const Message &message)
+{
+    std::vector<PromptPart> prompt;
+    for (std::size_t index = 0; index < std::min(message.partIds.size(), message.partTokens.size()); ++index) {
+        prompt.push_back({static_cast<std::uint64_t>(message.partIds[index]), message.partTokens[index]});
+    }
+    return prompt;
+}
+
 void writeLoads(wire::FrontBeat &message, const FrontHeartbeat &heartbeat)
 {
     for (const ServerLoad &entry : heartbeat.loads) {
@@ -38,10 +60,7 @@
     for (const SentPrompt &entry : heartbeat.sentPrompts) {
         wire::PromptUse sentPrompt;
         sentPrompt.replica = entry.replica.value();
-        for (const PromptPart &part : entry.prompt) {
-            sentPrompt.partIds.push_back(static_cast<std::int64_t>(part.id));
-            sentPrompt.partTokens.push_back(static_cast<std::int32_t>(part.tokens));
-        }
+        writePrompt(sentPrompt, entry.prompt);
         message.uses.push_back(std::move(sentPrompt));
     }
 }
@@ -65,15 +84,18 @@
     for (const auto &[service, rate] : heartbeat.eventRates) {
         message.eventRates[service.value()] = rate;
     }
-    for (const ReplicaId &engine : heartbeat.changingEngines) {
-        message.changing.push_back(engine.value());
+    for (const EngineStageChange &entry : heartbeat.changingEngines) {
+        wire::StageChange change;
+        change.replica = entry.engine.value();
+        change.remainingMs = static_cast<std::int32_t>(entry.remaining.count());
+        message.changing.push_back(std::move(change));
     }
 }
 
 void writeAnnouncedPeers(wire::FrontBeat &message, const FrontHeartbeat &heartbeat)
 {
-    for (const Endpoint &address : heartbeat.announcedPeers) {
-        message.acquaintances.push_back(address.text());
+    for (const PeerAddress &peer : heartbeat.announcedPeers) {
+        message.acquaintances.push_back(peer.text());
     }
 }
 
@@ -83,12 +105,7 @@
         heartbeat.loads.push_back(fromWire(entry));
     }
     for (const wire::PromptUse &entry : message.uses) {
-        SentPrompt sentPrompt;
-        sentPrompt.replica = ReplicaId(entry.replica);
-        for (std::size_t index = 0; index < std::min(entry.partIds.size(), entry.partTokens.size()); ++index) {
-            sentPrompt.prompt.push_back({static_cast<std::uint64_t>(entry.partIds[index]), entry.partTokens[index]});
-        }
-        heartbeat.sentPrompts.push_back(std::move(sentPrompt));
+        heartbeat.sentPrompts.push_back({ReplicaId(entry.replica), readPrompt(entry)});
     }
     for (const auto &[service, rate] : message.readRates) {
         heartbeat.prefillRates[ServiceId(service)] = rate;
@@ -96,14 +113,15 @@
     for (const auto &[service, rate] : message.eventRates) {
         heartbeat.eventRates[ServiceId(service)] = rate;
     }
-    for (const std::string &engine : message.changing) {
-        heartbeat.changingEngines.emplace_back(engine);
+    for (const wire::StageChange &entry : message.changing) {
+        heartbeat.changingEngines.push_back({ReplicaId(entry.replica), std::chrono::milliseconds(entry.remainingMs)});
     }
     for (const std::string &text : message.acquaintances) {
-        if (const Result<Endpoint> address = parseEndpoint(text)) {
-            heartbeat.announcedPeers.push_back(*address);
+        if (const Result<PeerAddress> peer = parsePeerAddress(text)) {
+            heartbeat.announcedPeers.push_back(*peer);
         }
     }
+    heartbeat.sightings = decodeSightings(message.sightings);
     for (const wire::CrashRecord &entry : message.crashRecords) {
         heartbeat.crashRecords.push_back({ContentHash(entry.contentHash), entry.crashes, std::chrono::milliseconds(entry.remainingMs)});
     }
@@ -143,6 +161,10 @@
     message.serversVersion = heartbeat.serversVersion.value();
     message.lagMicros = heartbeat.timerLag.count();
     message.readsStore = heartbeat.readsStore;
+    message.knownNodes = static_cast<std::int32_t>(heartbeat.knownNodes);
+    message.coordinator = heartbeat.coordinator.value();
+    message.coordinatorAgeMs = static_cast<std::int32_t>(heartbeat.coordinatorAge.count());
+    message.sightings = encodeSightings(heartbeat.sightings);
     writeLoads(message, heartbeat);
     writeSentPrompts(message, heartbeat);
     writeCrashRecords(message, heartbeat);
@@ -158,6 +180,32 @@
     message.sequence = update.sequence;
     message.peerAddress = update.peerAddress.text();
     message.load = toWire(update.load);
+    writePrompt(message, update.prompt);
+    return message;
+}
+
+wire::GroupQuery toWire(const EngineGroupQuery &query)
+{
+    wire::GroupQuery message;
+    message.number = query.number;
+    message.peerAddress = query.peerAddress.text();
+    message.engineService = query.service.value();
+    message.group = query.group;
+    writePrompt(message, query.prompt);
+    return message;
+}
+
+wire::GroupReport toWire(const EngineGroupReport &report)
+{
+    wire::GroupReport message;
+    message.number = report.number;
+    message.peerAddress = report.peerAddress.text();
+    for (const EngineGroupEntry &entry : report.engines) {
+        wire::GroupEngine engine;
+        engine.load = toWire(entry.load);
+        engine.cachedTokens = static_cast<std::int32_t>(entry.cachedTokens);
+        message.engines.push_back(std::move(engine));
+    }
     return message;
 }
 
@@ -167,7 +215,31 @@
     if (!peerAddress) {
         return fail(ErrorId::InvalidField, "load_notice.decode", peer, "peerAddress is missing or not of the form IP:PORT");
     }
-    return LoadUpdate{Incarnation(message.incarnation), message.sequence, *peerAddress, fromWire(message.load)};
+    return LoadUpdate{Incarnation(message.incarnation), message.sequence, *peerAddress, fromWire(message.load), readPrompt(message)};
+}
+
+Result<FrontDatagram> fromWire(const wire::GroupQuery &message, const std::string &peer)
+{
+    const Result<Endpoint> peerAddress = parseEndpoint(message.peerAddress);
+    if (!peerAddress) {
+        return fail(ErrorId::InvalidField, "group_query.decode", peer, "peerAddress is missing or not of the form IP:PORT");
+    }
+    return EngineGroupQuery{message.number, *peerAddress, ServiceId(message.engineService), message.group, readPrompt(message)};
+}
+
+Result<FrontDatagram> fromWire(const wire::GroupReport &message, const std::string &peer)
+{
+    const Result<Endpoint> peerAddress = parseEndpoint(message.peerAddress);
+    if (!peerAddress) {
+        return fail(ErrorId::InvalidField, "group_report.decode", peer, "peerAddress is missing or not of the form IP:PORT");
+    }
+    EngineGroupReport report;
+    report.number = message.number;
+    report.peerAddress = *peerAddress;
+    for (const wire::GroupEngine &entry : message.engines) {
+        report.engines.push_back({fromWire(entry.load), entry.cachedTokens});
+    }
+    return report;
 }
 
 Result<FrontDatagram> fromWire(const wire::FrontBeat &message, const std::string &peer)
@@ -193,6 +265,9 @@
     heartbeat.serversVersion = RowVersion(message.serversVersion);
     heartbeat.readsStore = message.readsStore;
     heartbeat.timerLag = std::chrono::microseconds(message.lagMicros);
+    heartbeat.knownNodes = static_cast<std::size_t>(std::max(message.knownNodes, 1));
+    heartbeat.coordinator = NodeId(message.coordinator);
+    heartbeat.coordinatorAge = std::chrono::milliseconds(std::max(message.coordinatorAgeMs, 0));
     readLists(heartbeat, message);
     return heartbeat;
 }
@@ -204,8 +279,12 @@
     wire::FrontDatagram message;
     if (const auto *heartbeat = std::get_if<FrontHeartbeat>(&datagram)) {
         message.__set_beat(toWire(*heartbeat));
+    } else if (const auto *update = std::get_if<LoadUpdate>(&datagram)) {
+        message.__set_notice(toWire(*update));
+    } else if (const auto *query = std::get_if<EngineGroupQuery>(&datagram)) {
+        message.__set_query(toWire(*query));
     } else {
-        message.__set_notice(toWire(std::get<LoadUpdate>(datagram)));
+        message.__set_report(toWire(std::get<EngineGroupReport>(datagram)));
     }
     return toThriftBytes(message);
 }
@@ -222,7 +301,13 @@
     if (message->__isset.notice) {
         return fromWire(message->notice, peer);
     }
-    return fail(ErrorId::MalformedMessage, "front_datagram.decode", peer, "datagram contains neither a heartbeat nor a load update");
+    if (message->__isset.query) {
+        return fromWire(message->query, peer);
+    }
+    if (message->__isset.report) {
+        return fromWire(message->report, peer);
+    }
+    return fail(ErrorId::MalformedMessage, "front_datagram.decode", peer, "datagram contains no known message");
 }
 
 std::string encodeFleetSnapshotRequest(const FleetSnapshotRequest &request)
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -38,6 +38,22 @@
     evict();
 }
 
+void PrefixCacheModel::setCachedTokens(const std::vector<PromptPart> &prompt, std::int64_t tokens)
+{
+    std::vector<PromptPart> cached;
+    for (const PromptPart &part : prompt) {
+        tokens -= part.tokens;
+        if (tokens >= 0) {
+            cached.push_back(part);
+        } else if (const auto found = m_index.find(part.id); found != m_index.end()) {
+            m_used -= found->second->tokens;
+            m_parts.erase(found->second);
+            m_index.erase(found);
+        }
+    }
+    recordPrompt(cached);
+}
+
 std::int64_t PrefixCacheModel::cachedTokens(const std::vector<PromptPart> &prompt) const
 {
     std::int64_t tokens = 0;
@@ -81,6 +97,7 @@
         backend->record = record;
         backend->cache.resize(m_cacheTokens[record.service]);
         m_byService[record.service].push_back(backend);
+        ++m_revision;
         return true;
     }
     BackendRecord &current = backend->record;
@@ -104,6 +121,7 @@
         backend->stageChangedAt = now;
     }
     current = record;
+    m_revision += changed ? 1 : 0;
     return changed;
 }
 
@@ -117,6 +135,7 @@
     // A server that has announced its shutdown does not return, so it gets no grace period after its removal.
     backend.removedAt = backend.record.state == BackendState::Draining ? now - RemovedServerGracePeriod : now;
     backend.record.state = BackendState::Removed;
+    ++m_revision;
 }
 
 void BackendTable::replaceAll(const std::vector<BackendRecord> &records, TimePoint now)
@@ -141,6 +160,7 @@
             && now - backend->removedAt > RemovedRetention;
         if (deletable) {
             std::erase(m_byService[backend->record.service], backend);
+            ++m_revision;
         }
         return deletable;
     });
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -264,7 +264,7 @@
         node.tables.rows["apricotarch-nodes"].push_back(row("d", other.text().c_str(), 2));
     };
     simulation.advance(1s);
-    const std::vector<Endpoint> peers = node.state.peers.heartbeatAddresses(simulation.clock.now());
+    const std::vector<Endpoint> peers = node.state.peers.heartbeatAddresses(simulation.clock.now(), node.state.random);
     BOOST_TEST(std::count(peers.begin(), peers.end(), other) == 1);
 }
 
@@ -302,7 +302,7 @@
         simulation.advance(1s);
     }
     for (const auto &[one, other] : {std::pair(&third, &fourth), std::pair(&fourth, &third)}) {
-        const std::vector<Endpoint> peers = one->state.peers.heartbeatAddresses(simulation.clock.now());
+        const std::vector<Endpoint> peers = one->state.peers.heartbeatAddresses(simulation.clock.now(), one->state.random);
         BOOST_TEST(std::count(peers.begin(), peers.end(), other->state.settings.peerAddress) == 1);
     }
 }
--- a/tests/src/unit-front_policy.cpp
+++ b/tests/src/unit-front_policy.cpp
@@ -29,6 +29,11 @@
     return progress;
 }
 
+PeerIdentity selfIdentity()
+{
+    return {NodeId("self"), {"10.0.0.9", 1}, ZoneId("z")};
+}
+
 FrontHeartbeat heartbeatOf(const char *node, std::uint16_t port)
 {
     FrontHeartbeat heartbeat;
@@ -136,7 +141,7 @@
 
 BOOST_AUTO_TEST_CASE(are_listed_while_they_are_live_ready_and_not_shutting_down)
 {
-    PeerTable peers(NodeId("self"), PeerTimeouts());
+    PeerTable peers(selfIdentity(), PeerTimeouts());
     BOOST_TEST(peers.recordHeartbeat(heartbeatOf("a", 1000), Start));
     BOOST_TEST(peers.callerAddresses(Start).size() == 1U);
     BOOST_TEST(peers.callerAddresses(Start + 2s).empty());
@@ -151,12 +156,12 @@
 
 LoadUpdate loadUpdateOf(const FrontHeartbeat &heartbeat, std::int64_t sequence, std::int64_t tokens)
 {
-    return {heartbeat.incarnation, sequence, heartbeat.peerAddress, {ReplicaId("engine"), {1, tokens}}};
+    return {heartbeat.incarnation, sequence, heartbeat.peerAddress, {ReplicaId("engine"), {1, tokens}}, {}};
 }
 
 BOOST_AUTO_TEST_CASE(with_an_update_that_applies_until_the_next_heartbeat)
 {
-    PeerTable peers(NodeId("self"), PeerTimeouts());
+    PeerTable peers(selfIdentity(), PeerTimeouts());
     FrontHeartbeat heartbeat = heartbeatOf("a", 1000);
     BOOST_TEST(peers.recordHeartbeat(heartbeat, Start));
     BOOST_TEST(peers.recordLoadUpdate(loadUpdateOf(heartbeat, heartbeat.sequence + 1, 20'000)));
@@ -170,7 +175,7 @@
 
 BOOST_AUTO_TEST_CASE(except_in_updates_that_are_outdated_or_from_another_incarnation)
 {
-    PeerTable peers(NodeId("self"), PeerTimeouts());
+    PeerTable peers(selfIdentity(), PeerTimeouts());
     FrontHeartbeat heartbeat = heartbeatOf("a", 1000);
     BOOST_TEST(!peers.recordLoadUpdate(loadUpdateOf(heartbeat, heartbeat.sequence + 1, 20'000)));
     BOOST_TEST(peers.recordHeartbeat(heartbeat, Start));
@@ -185,7 +190,7 @@
 
 BOOST_AUTO_TEST_CASE(are_accepted_after_a_restart_with_an_earlier_wall_clock_time)
 {
-    PeerTable peers(NodeId("self"), PeerTimeouts());
+    PeerTable peers(selfIdentity(), PeerTimeouts());
     FrontHeartbeat beforeRestart = heartbeatOf("a", 1000);
     beforeRestart.incarnation = Incarnation(500);
     beforeRestart.sequence = 90;
@@ -196,7 +201,7 @@
 
 BOOST_AUTO_TEST_CASE(with_newer_rows_are_found)
 {
-    PeerTable peers(NodeId("self"), PeerTimeouts());
+    PeerTable peers(selfIdentity(), PeerTimeouts());
     FrontHeartbeat heartbeat = heartbeatOf("a", 1000);
     heartbeat.planVersion = RowVersion(5);
     (void)peers.recordHeartbeat(heartbeat, Start);
@@ -212,11 +217,11 @@
 {
     const ZoneId nearZone("near");
     std::vector<NodeAddress> nodes{{{"10.0.0.1", 1}, nearZone}, {{"10.0.0.2", 1}, ZoneId("far")}};
-    BOOST_TEST(chooseAddresses(nodes, nearZone).size() == 2U);
+    BOOST_TEST(chooseAddresses(nodes, nearZone, NodeId("self")).size() == 2U);
     nodes.push_back({{"10.0.0.3", 1}, nearZone});
-    BOOST_TEST(chooseAddresses(nodes, nearZone).size() == 2U);
-    BOOST_TEST(chooseAddresses(nodes, ZoneId("far")).size() == 3U);
-    BOOST_TEST(chooseAddresses(nodes, ZoneId()).size() == 3U);
+    BOOST_TEST(chooseAddresses(nodes, nearZone, NodeId("self")).size() == 2U);
+    BOOST_TEST(chooseAddresses(nodes, ZoneId("far"), NodeId("self")).size() == 3U);
+    BOOST_TEST(chooseAddresses(nodes, ZoneId(), NodeId("self")).size() == 3U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
