Give up a prefill whose answer is lost once later ones are answered

Ruled out: a time limit of 400 ms or 3 times the prediction (docs/decisions/ load.md); the engine's report, which is priced and does not say which prefills are in progress.

Change: engines prefill in order of arrival. A prefill that is overdue by twice its prediction is given up when this node has two answers of the same engine to prefills that it sent later; the connection is closed, so that the engine drops the prefill if it still works on it.

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -86,6 +86,12 @@
     [[nodiscard]] Attempt handleResponse(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt handleConnectionLoss(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt abandonAttempt(ActiveAttempt &activeAttempt);
+    /// Returns the time from which a prefill without an answer may be lost.
+    [[nodiscard]] TimePoint overdueAt(const ActiveAttempt &activeAttempt) const;
+    /// Whether the answer to a prefill is lost: it is overdue, and the engine has answered later prefills.
+    [[nodiscard]] bool isPrefillLost(const ActiveAttempt &activeAttempt) const;
+    /// Closes the connection of a lost prefill, so that the engine drops it if it still works on it.
+    [[nodiscard]] Attempt abandonLostPrefill(ActiveAttempt &activeAttempt);
     /// Handles the bytes received so far.
     void handleProgress(ActiveAttempt &activeAttempt);
     void relayEvents(ActiveAttempt &activeAttempt);
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -6,6 +6,8 @@
  * prefix cache.
  */
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <list>
@@ -106,6 +108,31 @@
     std::unordered_map<std::uint64_t, std::list<PromptPart>::iterator> m_index;
 };
 
+/// Prefills of this node at one engine that were answered recently, as evidence that an older one is lost: engines prefill prompts in
+/// order of arrival.
+class AnsweredPrefills
+{
+public:
+    /// Records an answered prefill. @param sentAt when its request was sent
+    void record(TimePoint sentAt)
+    {
+        m_sentAt[m_next] = sentAt;
+        m_next = (m_next + 1) % m_sentAt.size();
+    }
+
+    /// Returns the number of recent answers to requests that were sent after @p time.
+    [[nodiscard]] std::size_t countSentAfter(TimePoint time) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_sentAt, [time](TimePoint sentAt) {
+            return sentAt > time;
+        }));
+    }
+
+private:
+    std::array<TimePoint, 4> m_sentAt{};
+    std::size_t m_next = 0;
+};
+
 /// One backend server, with this node's state for it.
 class Backend : public boost::intrusive_ref_counter<Backend, boost::thread_unsafe_counter>
 {
@@ -114,6 +141,7 @@
     BackendLoad localLoad; ///< Outstanding requests of this node.
     BackendLoad remoteLoad; ///< Outstanding requests of other nodes, as reported last.
     PrefixCacheModel cache;
+    AnsweredPrefills answeredPrefills;
     TimePoint removedAt; ///< Time from which the grace period after the entry's removal counts; valid in state Removed.
     TimePoint avoidUntil; ///< The server is avoided until this time, after failures.
     TimePoint stageChangeUntil; ///< The server takes no requests until this time, since its stage is being changed.
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -24,6 +24,15 @@
 /// A connection that is lost within this time was closed before the server had read the request, so it is no sign of a crash.
 constexpr Duration ShortestTimeToCrash = 5ms;
 
+/// A prefill is taken for lost if it is overdue by this factor of its prediction, and at least by the time MinPrefillTime, and the engine
+/// has answered this many prefills that were sent later.
+constexpr double OverduePrefillFactor = 2;
+constexpr Duration MinPrefillTime = 250ms;
+constexpr std::size_t LaterPrefillsAnswered = 2;
+
+/// Interval at which an overdue prefill is checked.
+constexpr Duration OverduePollInterval = 50ms;
+
 /// Lowest priority that servers support; 0 is the most urgent.
 constexpr int LowestPriority = 9;
 
@@ -139,6 +148,12 @@
             co_return abandonAttempt(activeAttempt);
         }
         TimePoint wake = m_deadline;
+        if (activeAttempt.prefillOnly) {
+            if (isPrefillLost(activeAttempt)) {
+                co_return abandonLostPrefill(activeAttempt);
+            }
+            wake = std::min<TimePoint>(wake, std::max<TimePoint>(overdueAt(activeAttempt), now + OverduePollInterval));
+        }
         if (activeAttempt.retryAt != TimePoint::max()) {
             const TimePoint silenceDeadline = std::max(
                 activeAttempt.retryAt, std::max(activeAttempt.lastReceivedAt, activeAttempt.backend->lastAnswerByteAt) + SilenceTimeout);
@@ -157,6 +172,32 @@
     }
 }
 
+TimePoint RequestForwarder::overdueAt(const ActiveAttempt &activeAttempt) const
+{
+    const auto predicted = std::chrono::duration<double, std::milli>(OverduePrefillFactor * m_lastPlacement.predictedFirstEventMs);
+    return activeAttempt.startedAt + std::max(MinPrefillTime, std::chrono::duration_cast<Duration>(predicted));
+}
+
+bool RequestForwarder::isPrefillLost(const ActiveAttempt &activeAttempt) const
+{
+    return m_state.clock.now() >= overdueAt(activeAttempt)
+        && activeAttempt.backend->answeredPrefills.countSentAfter(activeAttempt.startedAt) >= LaterPrefillsAnswered;
+}
+
+RequestForwarder::Attempt RequestForwarder::abandonLostPrefill(ActiveAttempt &activeAttempt)
+{
+    activeAttempt.connection->close();
+    m_state.metrics.increment(CounterFamily::Retries, "prefill_lost");
+    Attempt attempt;
+    attempt.result = AttemptResult::Silent;
+    attempt.error = Error{ErrorId::TimedOut,
+        "backend.prefill",
+        activeAttempt.backend->record.address.text(),
+        "prefills that were sent later have been answered",
+        Delivery::MaybeSent};
+    return attempt;
+}
+
 void RequestForwarder::handleProgress(ActiveAttempt &activeAttempt)
 {
     BackendConnection &connection = *activeAttempt.connection;
@@ -243,6 +284,9 @@
         return attempt;
     }
     activeAttempt.backend->recordSuccess();
+    if (activeAttempt.prefillOnly) {
+        activeAttempt.backend->answeredPrefills.record(activeAttempt.startedAt);
+    }
     attempt.result = AttemptResult::Answered;
     return attempt;
 }
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -121,9 +121,7 @@
     /// Sends bytes on a new connection and reads until the node closes it, @p terminator has been received, or 10 s have passed.
     std::string sendRequest(const std::string &bytes, const std::string &terminator = "\r\n\r\n")
     {
-        tcp::socket caller(loop);
-        caller.connect(m_acceptor.local_endpoint());
-        boost::asio::co_spawn(loop, serveCaller(state, m_acceptor.accept()), boost::asio::detached);
+        tcp::socket caller = connectCaller();
         boost::asio::write(caller, boost::asio::buffer(bytes));
         std::string answer;
         bool ended = false;
@@ -147,6 +145,24 @@
         return answer;
     }
 
+    /// Runs the event loop for a while.
+    void runFor(std::chrono::milliseconds duration)
+    {
+        const auto until = std::chrono::steady_clock::now() + duration;
+        while (std::chrono::steady_clock::now() < until) {
+            loop.run_one_for(10ms);
+        }
+    }
+
+    /// Opens a caller's connection to the node.
+    tcp::socket connectCaller()
+    {
+        tcp::socket caller(loop);
+        caller.connect(m_acceptor.local_endpoint());
+        boost::asio::co_spawn(loop, serveCaller(state, m_acceptor.accept()), boost::asio::detached);
+        return caller;
+    }
+
     boost::asio::io_context loop;
 
 private:
@@ -159,6 +175,35 @@
     std::vector<std::unique_ptr<ScriptedServer>> servers;
 };
 
+/// A caller that collects the answer to one request while the test does something else.
+class CallerProbe
+{
+public:
+    CallerProbe(TestNode &node, const std::string &bytes)
+        : m_socket(node.connectCaller())
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(bytes));
+        read();
+    }
+
+    std::string answer;
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_chunk), [this](const boost::system::error_code &code, std::size_t size) {
+            if (code) {
+                return;
+            }
+            answer.append(m_chunk.data(), size);
+            read();
+        });
+    }
+
+    tcp::socket m_socket;
+    std::array<char, 4096> m_chunk{};
+};
+
 const std::string BookingRequest =
     "POST /book/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nvisi";
 const std::string ViewRequest = "GET /view/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r2\r\nX-Deadline-Ms: 5000\r\n\r\n";
@@ -447,6 +492,52 @@
     BOOST_TEST(source == prefillEngine.endpoint().text() + "/h1");
 }
 
+BOOST_AUTO_TEST_CASE(whose_prefill_is_not_answered_while_later_ones_are_is_prefilled_elsewhere)
+{
+    // An engine had prefilled the prompt and its answer was lost; the request waited until its caller left after four times the target.
+    TestNode node;
+    int requestCount = 0;
+    const auto loseFirst = [&requestCount](const RequestHead &head, const std::string &) {
+        return ++requestCount == 1 ? ScriptedAnswer{""}
+                                   : ScriptedAnswer{fullResponse(head, R"({"kvHandle":"h1","tokens":17000,"version":1})")};
+    };
+    ScriptedServer &losing = node.addEngine("prefill-1", EngineStage::Prefill, loseFirst);
+    node.addEngine("decode", EngineStage::Decode, [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    CallerProbe first(node, LongPromptRequest);
+    node.runFor(100ms);
+    BOOST_REQUIRE(losing.targets.size() == 1U);
+    for (int later = 0; later < 2; ++later) {
+        BOOST_TEST(node.sendRequest(LongPromptRequest, "0\r\n\r\n").find(event(1)) != std::string::npos);
+    }
+    ScriptedServer &other = node.addEngine("prefill-2", EngineStage::Prefill, loseFirst);
+    node.runFor(2s);
+    BOOST_TEST(first.answer.find(event(1)) != std::string::npos);
+    BOOST_TEST(other.targets.size() == 1U);
+    BOOST_TEST(losing.targets.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(whose_prefill_takes_long_is_not_sent_twice)
+{
+    // Nothing speaks for a loss: the engine has answered no later prefill.
+    TestNode node;
+    node.addEngine("prefill-1", EngineStage::Prefill, [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{""};
+    });
+    node.addEngine("decode", EngineStage::Decode, [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    CallerProbe caller(node, LongPromptRequest);
+    node.runFor(100ms);
+    ScriptedServer &other = node.addEngine("prefill-2", EngineStage::Prefill, [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{""};
+    });
+    node.runFor(2s);
+    BOOST_TEST(caller.answer.empty());
+    BOOST_TEST(other.targets.empty());
+}
+
 BOOST_AUTO_TEST_CASE(is_not_prefilled_again_without_retry_budget)
 {
     TestNode node;
