Compare up to three groups of engines when a prompt would wait

Change: a prompt that would wait over 150 ms is compared with the next groups, up to three in all; shared parts are fetched from the engines of the first group.

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -59,15 +59,18 @@
 
     /// Refuses a request that cannot be served. @return whether it has been refused
     [[nodiscard]] bool refuseEarly();
-    [[nodiscard]] Placement selectPlacement();
+    /// Selects the servers for the next attempt. With partial views, prompts first get the loads of the groups that are compared.
+    [[nodiscard]] asio::awaitable<Placement> selectPlacement();
+    /// Selects the servers from one of m_groups, or from all if it is empty.
+    [[nodiscard]] Placement placeInGroup(std::size_t rank);
     /// Whether the request is a prompt for a model engine.
     [[nodiscard]] bool isPrompt() const;
-    /// With partial views: selects the groups of engines for the prompt and updates the load of the current one.
-    [[nodiscard]] asio::awaitable<void> refreshGroupLoad();
-    /// Returns those of @p servers that are in the current group; all if there is no group or none of its engines is usable.
-    [[nodiscard]] std::vector<BackendPointer> usableInGroup(const std::vector<BackendPointer> &servers);
-    /// Selects the next group of engines. @return false if no further group is to be tried
-    [[nodiscard]] bool tryNextGroup();
+    /// With partial views: sets m_groups for a prompt.
+    void rankEngineGroups();
+    /// Updates the loads and caches of the engines of one of m_groups.
+    [[nodiscard]] asio::awaitable<void> refreshGroupLoad(std::size_t rank);
+    /// Returns those of @p servers that are in one of m_groups; all if there is no group or none of its engines is usable.
+    [[nodiscard]] std::vector<BackendPointer> usableInGroup(const std::vector<BackendPointer> &servers, std::size_t rank);
     [[nodiscard]] bool exceedsWaitLimit(const Placement &placement) const;
     [[nodiscard]] ServiceId chooseService() const;
     [[nodiscard]] RequestProgress collectProgress() const;
@@ -126,7 +129,7 @@
     TimePoint m_deadline;
     std::set<ReplicaId> m_triedServers;
     std::vector<std::string> m_groups; ///< Names of the groups of engines for the prompt, best first; empty without partial views.
-    std::size_t m_groupRank = 0; ///< Index of the current group in m_groups.
+    std::size_t m_groupRank = 0; ///< Index in m_groups of the group in which the request was placed last.
     EventSplitter m_eventSplitter;
     ReplicaId m_lastServer;
     std::optional<KvLocation> m_kvLocation; ///< KV cache entry of the prompt that a prefill engine holds for this request.
--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -47,6 +47,7 @@
     std::int64_t promptTokens = 0;
     ZoneId zone; ///< Availability zone of this node.
     std::set<ReplicaId> triedServers; ///< Servers that the request has already been sent to.
+    std::vector<BackendPointer> fetchSources; ///< Further engines from which cached prefix parts may be fetched.
 };
 
 /// The servers selected for a request.
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -27,8 +27,11 @@
 /// The deadline is this long before the end of the request's time limit, so that the response reaches the caller in time.
 constexpr Duration DeadlineMargin = 15ms;
 
-/// Groups of engines that are tried for a prompt before it is refused.
-constexpr std::size_t MaxGroupsTried = 2;
+/// Groups of engines that are compared for a prompt at most.
+constexpr std::size_t MaxGroupsTried = 3;
+
+/// The next group is compared if a prompt would wait longer than this in the groups before.
+constexpr double MaxGroupWaitMs = 150;
 
 /// Share of the remaining time after which an unanswered request of a safe route is sent to another server.
 constexpr double SafeAnswerTimeoutShare = 0.4;
@@ -114,7 +117,28 @@
     return m_route->services.back().service;
 }
 
-Placement RequestForwarder::selectPlacement()
+asio::awaitable<Placement> RequestForwarder::selectPlacement()
+{
+    rankEngineGroups();
+    if (m_groups.empty()) {
+        co_return placeInGroup(0);
+    }
+    Placement best;
+    for (std::size_t rank = 0; rank < std::min(m_groups.size(), MaxGroupsTried); ++rank) {
+        co_await refreshGroupLoad(rank);
+        Placement placement = placeInGroup(rank);
+        if (placement.server && (!best.server || placement.predictedFirstEventMs < best.predictedFirstEventMs)) {
+            best = std::move(placement);
+            m_groupRank = rank;
+        }
+        if (best.server && best.waitMs <= MaxGroupWaitMs) {
+            break;
+        }
+    }
+    co_return best;
+}
+
+Placement RequestForwarder::placeInGroup(std::size_t rank)
 {
     const TimePoint now = m_state.clock.now();
     PlacementRequest request;
@@ -126,13 +150,13 @@
     }
     request.parts = m_request.prompt->parts;
     request.promptTokens = m_request.prompt->promptTokens;
-    if (!m_groups.empty()) {
-        Placement placement = m_state.placementPlanner.selectEngines(usableInGroup(servers), request, *m_service->engine, now);
-        if (placement.server) {
-            return placement;
-        }
+    if (m_groups.empty()) {
+        return m_state.placementPlanner.selectEngines(servers, request, *m_service->engine, now);
+    }
+    if (rank > 0) {
+        request.fetchSources = usableInGroup(servers, 0); // The preferred engines have the prompt's shared parts cached.
     }
-    return m_state.placementPlanner.selectEngines(servers, request, *m_service->engine, now);
+    return m_state.placementPlanner.selectEngines(usableInGroup(servers, rank), request, *m_service->engine, now);
 }
 
 bool RequestForwarder::isPrompt() const
@@ -140,31 +164,31 @@
     return m_service != nullptr && m_service->engine && m_request.prompt;
 }
 
-asio::awaitable<void> RequestForwarder::refreshGroupLoad()
+void RequestForwarder::rankEngineGroups()
 {
     m_groups.clear();
+    m_groupRank = 0;
     if (!isPrompt() || !m_state.peers.usesPartialView() || !m_state.refreshGroupLoad) {
-        co_return;
+        return;
     }
-    const std::vector<PromptPart> &parts = m_request.prompt->parts;
     const std::vector<EngineGroup> &groups = m_state.engineGroups.groups(m_serviceId);
-    for (const std::size_t index : rankGroups(groups, promptAffinityKey(parts))) {
+    for (const std::size_t index : rankGroups(groups, promptAffinityKey(m_request.prompt->parts))) {
         m_groups.push_back(groups[index].name);
     }
-    if (m_groups.empty()) {
-        co_return;
-    }
-    m_groupRank = std::min(m_groupRank, m_groups.size() - 1);
+}
+
+asio::awaitable<void> RequestForwarder::refreshGroupLoad(std::size_t rank)
+{
     EngineGroupQuery query;
     query.service = m_serviceId;
-    query.group = m_groups[m_groupRank];
-    query.prompt = parts;
+    query.group = m_groups[rank];
+    query.prompt = m_request.prompt->parts;
     co_await m_state.refreshGroupLoad(std::move(query));
 }
 
-std::vector<BackendPointer> RequestForwarder::usableInGroup(const std::vector<BackendPointer> &servers)
+std::vector<BackendPointer> RequestForwarder::usableInGroup(const std::vector<BackendPointer> &servers, std::size_t rank)
 {
-    const EngineGroup *group = m_groups.empty() ? nullptr : m_state.engineGroups.find(m_serviceId, m_groups[m_groupRank]);
+    const EngineGroup *group = m_groups.empty() ? nullptr : m_state.engineGroups.find(m_serviceId, m_groups[rank]);
     if (group == nullptr) {
         return servers;
     }
@@ -176,15 +200,6 @@
     return usable.empty() ? servers : usable;
 }
 
-bool RequestForwarder::tryNextGroup()
-{
-    if (m_groupRank + 1 >= std::min(m_groups.size(), MaxGroupsTried)) {
-        return false;
-    }
-    ++m_groupRank;
-    return true;
-}
-
 bool RequestForwarder::exceedsWaitLimit(const Placement &placement) const
 {
     return placement.waitMs > m_state.settings.engineCosts.maxWaitMs;
@@ -228,14 +243,10 @@
 asio::awaitable<void> RequestForwarder::sendUntilDone()
 {
     while (!m_finished) {
-        co_await refreshGroupLoad();
-        const Placement placement = selectPlacement();
+        const Placement placement = co_await selectPlacement();
         m_lastPlacement = placement;
         BackendPointer server = placement.server;
         if (server && m_attemptsSent == 0 && exceedsWaitLimit(placement)) {
-            if (tryNextGroup()) {
-                continue;
-            }
             refuse(RefusalReason::Overloaded);
             break;
         }
@@ -248,7 +259,7 @@
         if (m_kvLocation) {
             // During the prefill, engines may have started to drain and loads may have changed.
             const TimePoint now = m_state.clock.now();
-            const std::vector<BackendPointer> usable = usableInGroup(m_state.backends.selectUsable(m_serviceId, now));
+            const std::vector<BackendPointer> usable = usableInGroup(m_state.backends.selectUsable(m_serviceId, now), m_groupRank);
             server = m_state.placementPlanner.selectDecodeEngine(usable, m_triedServers, now);
         }
         if (!server) {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -204,7 +204,11 @@
     for (const BackendPointer &engine : selectCandidates(engines, request.triedServers, now)) {
         cachedPrefixes.push_back({engine, std::min(engine->cache.cachedTokens(request.parts), request.promptTokens)});
     }
-    const std::vector<CachedPrefix> sources = selectFetchSources(cachedPrefixes);
+    std::vector<CachedPrefix> possibleSources = cachedPrefixes;
+    for (const BackendPointer &engine : request.fetchSources) {
+        possibleSources.push_back({engine, std::min(engine->cache.cachedTokens(request.parts), request.promptTokens)});
+    }
+    const std::vector<CachedPrefix> sources = selectFetchSources(possibleSources);
     for (const CachedPrefix &cached : cachedPrefixes) {
         auto &list = cached.engine->record.stage == EngineStage::Prefill ? prefillCandidates : decodeCandidates;
         list.push_back(evaluateCandidate(cached, sources, request, spec));
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -103,6 +103,24 @@
     BOOST_TEST(prefillEngineOf(placementPlanner.selectEngines(fleet, planRequest(5, 2), spec(), Start))->record.id != preferred->record.id);
 }
 
+BOOST_AUTO_TEST_CASE(fetches_its_shared_part_from_engines_that_are_too_busy_to_take_it)
+{
+    const auto busy = engines(4, 4);
+    for (const BackendPointer &engine : busy) {
+        engine->cache.recordPrompt(planRequest(5, 1).parts);
+        engine->localLoad.promptTokens = 200'000;
+    }
+    const auto idle = engines(4, 4);
+    PlacementPlanner placementPlanner(EngineCostModel(), 1);
+    PlacementRequest request = planRequest(5, 2);
+    BOOST_TEST(placementPlanner.selectEngines(idle, request, spec(), Start).tokensToPrefill == 17'000);
+    request.fetchSources = busy;
+    const Placement placement = placementPlanner.selectEngines(idle, request, spec(), Start);
+    BOOST_TEST(std::ranges::count(idle, prefillEngineOf(placement)) == 1);
+    BOOST_TEST(std::ranges::count(busy, placement.prefixSource) == 1);
+    BOOST_TEST(placement.tokensToPrefill == 3'700);
+}
+
 BOOST_AUTO_TEST_CASE(is_not_sent_again_to_a_server_that_was_tried)
 {
     const auto fleet = engines(0, 2);
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -60,9 +60,10 @@
 class TestNode
 {
 public:
-    TestNode()
+    /// @param maxFullMeshNodes with 0, the node uses a partial view
+    explicit TestNode(std::size_t maxFullMeshNodes = DefaultMaxFullMeshNodes)
         : m_acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0})
-        , state(loop.get_executor(), FrontSettings(), m_clock, m_protocolAdapter, 1)
+        , state(loop.get_executor(), settingsWith(maxFullMeshNodes), m_clock, m_protocolAdapter, 1)
     {
         state.settings.retryLimits = {0.2, 100, 10s};
         state.retryBudget = SharedRetryBudget(state.settings.retryLimits);
@@ -166,6 +167,13 @@
     boost::asio::io_context loop;
 
 private:
+    static FrontSettings settingsWith(std::size_t maxFullMeshNodes)
+    {
+        FrontSettings settings;
+        settings.maxFullMeshNodes = maxFullMeshNodes;
+        return settings;
+    }
+
     SystemClock m_clock;
     platform::ProtocolAdapter m_protocolAdapter;
     tcp::acceptor m_acceptor;
@@ -558,6 +566,70 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_prompt_in_a_fleet_with_partial_views)
+
+/// A node with a partial view and 48 idle decode engines in two availability zones.
+class LargeFleetNode : public TestNode
+{
+public:
+    LargeFleetNode()
+        : TestNode(0)
+    {
+        for (int index = 0; index < 48; ++index) {
+            addEngine(("i-" + std::to_string(index)).c_str(), EngineStage::Decode, [this](const RequestHead &head, const std::string &) {
+                sentTo.emplace_back(head.headers.value("X-Expect-Instance"));
+                return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+            });
+            BackendRecord record = state.backends.find(ReplicaId("i-" + std::to_string(index)))->record;
+            record.zone = ZoneId(index % 2 == 0 ? "east" : "west");
+            state.backends.update(record, TimePoint());
+        }
+        state.refreshGroupLoad = [this](const EngineGroupQuery &query) -> asio::awaitable<void> {
+            queriedGroups.push_back(query.group);
+            const bool busy = queriedGroups.size() <= busyGroups;
+            for (const BackendPointer &engine : state.engineGroups.find(query.service, query.group)->engines) {
+                engine->remoteLoad.promptTokens = busy ? 100'000 : 0;
+            }
+            co_return;
+        };
+    }
+
+    std::size_t busyGroups = 0; ///< Number of groups that report a load of 100,000 prompt tokens at each engine.
+    std::vector<std::string> queriedGroups;
+    std::vector<std::string> sentTo; ///< Ids of the engines that received the prompt.
+};
+
+BOOST_AUTO_TEST_CASE(asks_for_the_load_of_one_group_and_goes_to_an_engine_of_it)
+{
+    LargeFleetNode node;
+    BOOST_TEST(node.sendRequest(LongPromptRequest, "0\r\n\r\n").find(event(1)) != std::string::npos);
+    BOOST_REQUIRE(node.queriedGroups.size() == 1U);
+    BOOST_REQUIRE(node.sentTo.size() == 1U);
+    BOOST_TEST(node.state.engineGroups.groupOf(*node.state.backends.find(ReplicaId(node.sentTo[0]))) == node.queriedGroups[0]);
+}
+
+BOOST_AUTO_TEST_CASE(goes_to_the_next_group_when_its_own_is_busy)
+{
+    // A burst of one mill's plans at 160 engines: its own group makes them wait while other groups are idle.
+    LargeFleetNode node;
+    node.busyGroups = 1;
+    BOOST_TEST(node.sendRequest(LongPromptRequest, "0\r\n\r\n").find(event(1)) != std::string::npos);
+    BOOST_REQUIRE(node.queriedGroups.size() == 2U);
+    BOOST_REQUIRE(node.sentTo.size() == 1U);
+    BOOST_TEST(node.state.engineGroups.groupOf(*node.state.backends.find(ReplicaId(node.sentTo[0]))) == node.queriedGroups[1]);
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_at_once_when_all_groups_that_are_compared_are_busy)
+{
+    LargeFleetNode node;
+    node.busyGroups = 100;
+    BOOST_TEST(node.sendRequest(LongPromptRequest, "overloaded").starts_with("HTTP/1.1 503"));
+    BOOST_TEST(node.queriedGroups.size() == 3U);
+    BOOST_TEST(node.sentTo.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_request_that_cannot_be_forwarded)
 
 BOOST_AUTO_TEST_CASE(is_refused_with_the_reason)
