Move the platform's tables and the registration out of FleetSynchronizer

FleetSynchronizer had four jobs. FleetTables now keeps and applies the rows of the platform's tables, NodeRegistration keeps the node's own row.

Cause of the one change of behaviour: a server whose row had become unreadable was removed, but its last readable row was still sent to peers, so that a node that started without the store used the server again. Unreadable rows are now kept in place of the readable ones. Test: fleet_synchronizer/ a_server_whose_row_became_unreadable_is_not_used_by_a_node_that_starts_later fails without the change.

--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -13,7 +13,9 @@
 #include <string>
 
 #include "apricotarch/app/engine_group_loads.h"
+#include "apricotarch/app/fleet_tables.h"
 #include "apricotarch/app/front_state.h"
+#include "apricotarch/app/node_registration.h"
 #include "apricotarch/coordination/platform_services.h"
 #include "apricotarch/coordination/table_reader.h"
 #include "apricotarch/transport/authenticated_link.h"
@@ -21,16 +23,6 @@
 namespace apricotarch
 {
 
-/// Names of the platform's tables and decoders of their rows, provided by the platform's protocol adapter.
-struct RowDecoders
-{
-    std::string planTable; ///< Table that contains the configuration, which decodes to a RoutingPlan.
-    std::string planKey; ///< Key of the configuration's row.
-    std::string serversTable; ///< Table with one row per backend server.
-    std::function<Result<RoutingPlan>(const std::string &text)> decodeRoutingPlan;
-    std::function<Result<BackendRecord>(const std::string &key, const std::string &text)> decodeServer;
-};
-
 /// Runs the loops that keep a FrontState up to date. All calls must be made on one event loop.
 class FleetSynchronizer
 {
@@ -62,22 +54,11 @@
         Servers,
     };
 
-    /// Result of an attempt to register this node in the nodes' table.
-    enum class Registration : std::uint8_t {
-        Found, ///< The row already has the current address, or the node is shutting down and does not register.
-        Written, ///< The row has been written.
-    };
-
     // ---- the store ----
 
     [[nodiscard]] asio::awaitable<void> followTable(Table table);
-    void applyBatch(Table table, const RowBatch &batch, bool isFullTable);
-    void applyPlan(const std::string &text, RowVersion version, const char *source);
-    void applyServers(const std::vector<StoredRow> &rows, RowVersion version, bool isFullTable);
     void updateStoreStatus(Table table, const Result<RowBatch> &result);
     [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
-    [[nodiscard]] asio::awaitable<void> maintainRegistration();
-    [[nodiscard]] asio::awaitable<Result<Registration>> registerOnce();
 
     // ---- other nodes ----
 
@@ -106,19 +87,14 @@
 
     FrontState &m_state;
     TableReader &m_tables;
-    TableStore &m_rows;
     AuthenticatedLink &m_link;
-    RowDecoders m_decoders;
+    FleetTables m_fleetTables;
+    NodeRegistration m_registration;
     Incarnation m_incarnation;
     EngineGroupLoads m_groupLoads;
     std::int64_t m_sequence = 0;
-    RowVersion m_planVersion; ///< Row version of the configuration in force.
-    RowVersion m_serversVersion; ///< Highest row version in m_serverRows.
     RowVersion m_planReadVersion; ///< Version up to which the configuration's table has been read; 0 requests a full read.
     RowVersion m_serversReadVersion; ///< Version up to which the servers' table has been read; 0 requests a full read.
-    std::string m_planText;
-    std::map<std::string, StoredRow> m_serverRows; ///< Includes removed servers, so that snapshots report the removal to peers.
-    std::map<std::string, std::string> m_nodeAddresses; ///< Peer addresses by node.
     std::array<bool, 2> m_storeCallFailed{}; ///< By table: whether the last call to the store failed.
     std::optional<TimePoint> m_behindSince; ///< When a peer was first found to have newer rows than this node.
     bool m_catchingUp = false;
--- /dev/null
+++ b/include/apricotarch/app/fleet_tables.h
@@ -0,0 +1,94 @@
+#pragma once
+
+/**
+ * @file
+ * The rows of the platform's tables that a front node has read, from the store or from a peer, and their application to its state.
+ */
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "apricotarch/app/front_state.h"
+#include "apricotarch/state/front_heartbeat.h"
+
+namespace apricotarch
+{
+
+/// Names of the platform's tables and decoders of their rows, provided by the platform's protocol adapter.
+struct RowDecoders
+{
+    std::string planTable; ///< Table that contains the configuration, which decodes to a RoutingPlan.
+    std::string planKey; ///< Key of the configuration's row.
+    std::string serversTable; ///< Table with one row per backend server.
+    std::function<Result<RoutingPlan>(const std::string &text)> decodeRoutingPlan;
+    std::function<Result<BackendRecord>(const std::string &key, const std::string &text)> decodeServer;
+};
+
+/// Applies rows to a FrontState in the order of their versions and keeps them for peers. Not thread-safe; used on one event loop.
+class FleetTables
+{
+public:
+    /**
+     * @param state the state to update; must outlive this object
+     * @param decoders table names and row decoders of the platform
+     */
+    FleetTables(FrontState &state, RowDecoders decoders);
+
+    // ---- changes ----
+
+    /// Applies rows of the configuration's table.
+    void applyPlanRows(const std::vector<StoredRow> &rows);
+
+    /**
+     * Applies rows of the servers' table.
+     * @param rows changed rows, or all rows
+     * @param version version of the table as of the rows
+     * @param isFullTable whether @p rows are all rows; other servers are then removed
+     */
+    void applyServerRows(const std::vector<StoredRow> &rows, RowVersion version, bool isFullTable);
+
+    /// Applies the rows that a peer has sent. @param requested version of the servers' table that this node had asked from
+    void applySnapshot(const FleetSnapshot &snapshot, RowVersion requested);
+
+    // ---- views ----
+
+    /// Returns the rows that a peer lacks, without the nodes' table.
+    [[nodiscard]] FleetSnapshot makeSnapshot(const FleetSnapshotRequest &request) const;
+
+    /// Row version of the configuration in force.
+    [[nodiscard]] RowVersion planVersion() const noexcept
+    {
+        return m_planVersion;
+    }
+
+    /// Version up to which the servers' table is known.
+    [[nodiscard]] RowVersion serversVersion() const noexcept
+    {
+        return m_serversVersion;
+    }
+
+    [[nodiscard]] const RowDecoders &decoders() const noexcept
+    {
+        return m_decoders;
+    }
+
+private:
+    void applyPlan(const std::string &text, RowVersion version, const char *source);
+    void resizeCaches();
+    void markAllRemoved(RowVersion version);
+    /// Decodes a row and removes its server if the row was removed or cannot be decoded. @return the server if it is to be used
+    [[nodiscard]] std::optional<BackendRecord> decodeOrRemove(const StoredRow &row);
+    void updateServer(const BackendRecord &record, RowVersion version);
+
+    FrontState &m_state;
+    RowDecoders m_decoders;
+    RowVersion m_planVersion;
+    RowVersion m_serversVersion; ///< Highest row version in m_serverRows, or that of a snapshot if it is higher.
+    std::string m_planText;
+    std::map<std::string, StoredRow> m_serverRows; ///< Includes removed servers, so that snapshots report the removal to peers.
+};
+
+} // namespace apricotarch
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -47,10 +47,6 @@
 /// Heartbeat interval with partial views.
 constexpr Duration PartialViewHeartbeatInterval = 500ms;
 
-/// Poll interval of the nodes' table. New nodes send heartbeats to all nodes they have found, so polling only finds
-/// nodes that were missed.
-constexpr Duration NodesPollInterval = 60s;
-
 /// With partial views: changes that occur within this time after the first one are sent in one heartbeat.
 constexpr Duration UrgentHeartbeatDelay = 20ms;
 
@@ -62,18 +58,15 @@
 /// Heartbeats between two removals of expired entries.
 constexpr std::size_t HeartbeatsPerCleanup = 3;
 
-/// This system's own table, with one row per node.
-constexpr const char *NodesTable = "apricotarch-nodes";
-
 } // namespace
 
 FleetSynchronizer::FleetSynchronizer(
     FrontState &state, TableReader &tables, TableStore &rows, AuthenticatedLink &link, RowDecoders decoders, Incarnation incarnation)
     : m_state(state)
     , m_tables(tables)
-    , m_rows(rows)
     , m_link(link)
-    , m_decoders(std::move(decoders))
+    , m_fleetTables(state, std::move(decoders))
+    , m_registration(state, tables, rows)
     , m_incarnation(incarnation)
     , m_groupLoads(state, link, incarnation)
 {
@@ -111,7 +104,7 @@
     };
     asio::co_spawn(loop, followTable(Table::Plan), asio::detached);
     asio::co_spawn(loop, followTable(Table::Servers), asio::detached);
-    asio::co_spawn(loop, maintainRegistration(), asio::detached);
+    asio::co_spawn(loop, m_registration.run(), asio::detached);
     asio::co_spawn(loop, heartbeatLoop(), asio::detached);
     return {};
 }
@@ -125,7 +118,8 @@
     while (true) {
         if (!m_state.peers.shouldReadStore(m_state.clock.now())) {
             // Heartbeats of the nodes that read the store report changes. If this node has to read again, it continues from here.
-            version = table == Table::Plan ? std::max(version, m_planVersion) : std::max(version, m_serversVersion);
+            version =
+                table == Table::Plan ? std::max(version, m_fleetTables.planVersion()) : std::max(version, m_fleetTables.serversVersion());
             m_storeCallFailed.at(static_cast<std::size_t>(table)) = false;
             co_await m_state.clock.sleep(FollowerPollInterval);
             continue;
@@ -135,7 +129,11 @@
         updateStoreStatus(table, batch);
         if (batch) {
             pause = FirstRetryPause;
-            applyBatch(table, *batch, isFullTable);
+            if (table == Table::Plan) {
+                m_fleetTables.applyPlanRows(batch->rows);
+            } else {
+                m_fleetTables.applyServerRows(batch->rows, batch->version, isFullTable);
+            }
             version = std::max(version, batch->version);
             if (table == Table::Servers && !batch->rows.empty()) {
                 co_await m_state.clock.sleep(ServerChangesPause);
@@ -155,7 +153,7 @@
 
 asio::awaitable<Result<RowBatch>> FleetSynchronizer::readTable(Table table, bool recovering)
 {
-    const std::string &name = table == Table::Plan ? m_decoders.planTable : m_decoders.serversTable;
+    const std::string &name = table == Table::Plan ? m_fleetTables.decoders().planTable : m_fleetTables.decoders().serversTable;
     const RowVersion version = table == Table::Plan ? m_planReadVersion : m_serversReadVersion;
     if (version.value() == 0) {
         co_return co_await m_tables.readTable(name);
@@ -183,154 +181,6 @@
     }
 }
 
-void FleetSynchronizer::applyBatch(Table table, const RowBatch &batch, bool isFullTable)
-{
-    if (table == Table::Servers) {
-        applyServers(batch.rows, batch.version, isFullTable);
-        return;
-    }
-    for (const StoredRow &row : batch.rows) {
-        if (row.key == m_decoders.planKey && !row.removed) {
-            applyPlan(row.text, row.version, "store");
-        }
-    }
-}
-
-void FleetSynchronizer::applyPlan(const std::string &text, RowVersion version, const char *source)
-{
-    if (version <= m_planVersion) {
-        return;
-    }
-    Result<RoutingPlan> plan = m_decoders.decodeRoutingPlan(text);
-    if (!plan) {
-        LogEvent("plan.unreadable", LogEvent::Level::Error).field("row_version", version).error(plan.error());
-        return;
-    }
-    if (plan->version() < m_state.plan->version()) {
-        LogEvent("plan.older", LogEvent::Level::Warning).field("plan", plan->version()).field("in_force", m_state.plan->version());
-        return;
-    }
-    LogEvent("plan.adopted")
-        .field("plan", plan->version())
-        .field("before", m_state.plan->version())
-        .field("row_version", version)
-        .field("source", source)
-        .field("routes", plan->routes().size());
-    m_state.metrics.increment(CounterFamily::Configurations, "adopted");
-    m_planVersion = version;
-    m_planText = text;
-    requestUrgentHeartbeat();
-    m_state.plan = std::make_shared<RoutingPlan>(std::move(*plan));
-    for (const Route &route : m_state.plan->routes()) {
-        for (const ServiceWeight &serviceWeight : route.services) {
-            const RoutedService *service = m_state.plan->service(serviceWeight.service);
-            if (service != nullptr && service->engine) {
-                const double tokens = static_cast<double>(service->engine->kvTokens) * m_state.settings.engineCosts.prefixCacheShare;
-                m_state.backends.resizeCaches(serviceWeight.service, static_cast<std::int64_t>(tokens));
-            }
-        }
-    }
-}
-
-void FleetSynchronizer::applyServers(const std::vector<StoredRow> &rows, RowVersion version, bool isFullTable)
-{
-    const TimePoint now = m_state.clock.now();
-    std::vector<BackendRecord> records;
-    if (isFullTable) {
-        for (auto &[key, row] : m_serverRows) {
-            if (!row.removed) {
-                row = {key, "", version, true}; // Rows that are still present are restored below.
-            }
-        }
-    }
-    for (const StoredRow &row : rows) {
-        if (row.removed) {
-            LogEvent("server.removed").field("server", row.key).field("row_version", row.version);
-            m_state.backends.remove(ReplicaId(row.key), now);
-            m_serverRows[row.key] = row;
-            continue;
-        }
-        Result<BackendRecord> record = m_decoders.decodeServer(row.key, row.text);
-        if (!record) {
-            LogEvent("server.unreadable", LogEvent::Level::Warning).field("server", row.key).error(record.error());
-            m_state.backends.remove(ReplicaId(row.key), now);
-            continue;
-        }
-        m_serverRows[row.key] = row;
-        if (isFullTable) {
-            records.push_back(std::move(*record));
-        } else if (m_state.backends.update(*record, now)) {
-            LogEvent("server.changed")
-                .field("server", row.key)
-                .field("service", record->service)
-                .field("state", static_cast<int>(record->state))
-                .field("stage", static_cast<int>(record->stage))
-                .field("row_version", row.version);
-        }
-    }
-    if (isFullTable) {
-        m_state.backends.replaceAll(records, now);
-        LogEvent("servers.read").field("servers", records.size()).field("row_version", version);
-    }
-    m_state.serversLoaded = true;
-    requestUrgentHeartbeat();
-    // Nodes compare row versions, since the store's own version also grows without a change of this table.
-    for (const auto &[key, row] : m_serverRows) {
-        m_serversVersion = std::max(m_serversVersion, row.version);
-    }
-}
-
-asio::awaitable<void> FleetSynchronizer::maintainRegistration()
-{
-    Duration pause = FirstRetryPause;
-    while (true) {
-        const Result<Registration> registration = co_await registerOnce();
-        if (registration) {
-            pause = FirstRetryPause;
-            if (*registration == Registration::Found) {
-                co_await m_state.clock.sleep(NodesPollInterval);
-            }
-            continue; // After a write, read again to find nodes that registered between the read and the write.
-        }
-        LogEvent("node.not_registered", LogEvent::Level::Warning).error(registration.error());
-        co_await m_state.clock.sleep(pause);
-        pause = std::min(pause * 2, LongestRetryPause);
-    }
-}
-
-asio::awaitable<Result<FleetSynchronizer::Registration>> FleetSynchronizer::registerOnce()
-{
-    const Result<RowBatch> nodes = co_await m_tables.readTable(NodesTable);
-    if (!nodes) {
-        co_return Failure(nodes.error());
-    }
-    const TimePoint now = m_state.clock.now();
-    const std::string ownAddress = PeerAddress{m_state.settings.peerAddress, m_state.settings.zone}.text();
-    RowVersion ownVersion;
-    bool registered = false;
-    m_nodeAddresses.clear();
-    for (const StoredRow &row : nodes->rows) {
-        m_nodeAddresses[row.key] = row.text;
-        if (row.key == m_state.settings.node.value()) {
-            ownVersion = row.version;
-            registered = row.text == ownAddress;
-            continue;
-        }
-        if (const Result<PeerAddress> peer = parsePeerAddress(row.text)) {
-            m_state.peers.addAddress(*peer, now);
-        }
-    }
-    if (registered || m_state.shuttingDown) {
-        co_return Registration::Found;
-    }
-    RowWrite write{{NodesTable, m_state.settings.node.value()}, ownVersion, ownAddress, std::nullopt};
-    const Result<RowVersion> written = co_await m_rows.write(std::move(write));
-    if (!written) {
-        co_return Failure(written.error());
-    }
-    co_return Registration::Written;
-}
-
 // ---- other nodes ----
 
 asio::awaitable<void> FleetSynchronizer::heartbeatLoop()
@@ -376,8 +226,8 @@
     heartbeat.peerAddress = settings.peerAddress;
     heartbeat.ready = m_state.isReady();
     heartbeat.shuttingDown = m_state.shuttingDown;
-    heartbeat.planVersion = m_planVersion;
-    heartbeat.serversVersion = m_serversVersion;
+    heartbeat.planVersion = m_fleetTables.planVersion();
+    heartbeat.serversVersion = m_fleetTables.serversVersion();
     heartbeat.timerLag = m_loopLag;
     heartbeat.readsStore = !m_storeCallFailed[0] && !m_storeCallFailed[1] && m_state.serversLoaded && m_state.peers.shouldReadStore(now);
     addLoads(heartbeat);
@@ -562,7 +412,8 @@
 
 void FleetSynchronizer::catchUpIfBehind(TimePoint now)
 {
-    const std::optional<Endpoint> peer = m_state.peers.findPeerWithNewerRows(m_planVersion, m_serversVersion, now);
+    const std::optional<Endpoint> peer =
+        m_state.peers.findPeerWithNewerRows(m_fleetTables.planVersion(), m_fleetTables.serversVersion(), now);
     if (!peer) {
         m_behindSince.reset();
         return;
@@ -579,20 +430,16 @@
 
 asio::awaitable<void> FleetSynchronizer::catchUp(Endpoint peer)
 {
-    const RowVersion since = m_serversVersion;
-    std::string request = encodeFleetSnapshotRequest({m_state.settings.node, m_planVersion, since});
+    const RowVersion since = m_fleetTables.serversVersion();
+    std::string request = encodeFleetSnapshotRequest({m_state.settings.node, m_fleetTables.planVersion(), since});
     const Result<std::string> response = co_await m_link.sendRequest(peer, std::move(request));
     const Result<FleetSnapshot> snapshot =
         response ? decodeFleetSnapshot(*response, peer.text()) : Result<FleetSnapshot>(Failure(response.error()));
     if (!snapshot) {
         LogEvent("peer.no_snapshot", LogEvent::Level::Warning).error(snapshot.error());
     } else {
-        if (!snapshot->plan.empty()) {
-            applyPlan(snapshot->plan, snapshot->planVersion, "peer");
-        }
-        if (snapshot->serversVersion > m_serversVersion) {
-            applyServers(snapshot->servers, snapshot->serversVersion, since.value() == 0);
-            m_serversVersion = std::max(m_serversVersion, snapshot->serversVersion);
+        m_fleetTables.applySnapshot(*snapshot, since);
+        if (snapshot->serversVersion == m_fleetTables.serversVersion()) {
             m_serversReadVersion = std::max(m_serversReadVersion, snapshot->serversVersion);
         }
         for (const StoredRow &row : snapshot->nodes) {
@@ -607,18 +454,9 @@
 
 FleetSnapshot FleetSynchronizer::makeSnapshot(const FleetSnapshotRequest &request) const
 {
-    FleetSnapshot snapshot;
-    snapshot.planVersion = m_planVersion;
-    snapshot.plan = request.planVersion < m_planVersion ? m_planText : std::string();
-    snapshot.serversVersion = m_serversVersion;
-    const bool isFirstRequest = request.serversVersion.value() == 0;
-    for (const auto &[key, row] : m_serverRows) {
-        if (row.version > request.serversVersion && !(isFirstRequest && row.removed)) {
-            snapshot.servers.push_back(row);
-        }
-    }
-    if (isFirstRequest) {
-        for (const auto &[key, address] : m_nodeAddresses) {
+    FleetSnapshot snapshot = m_fleetTables.makeSnapshot(request);
+    if (request.serversVersion.value() == 0) {
+        for (const auto &[key, address] : m_registration.nodes()) {
             snapshot.nodes.push_back({key, address, RowVersion(), false});
         }
     }
--- /dev/null
+++ b/src/app/fleet_tables.cpp
@@ -0,0 +1,167 @@
+#include "apricotarch/app/fleet_tables.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "apricotarch/base/log.h"
+
+namespace apricotarch
+{
+
+FleetTables::FleetTables(FrontState &state, RowDecoders decoders)
+    : m_state(state)
+    , m_decoders(std::move(decoders))
+{
+}
+
+// ---- the configuration ----
+
+void FleetTables::applyPlanRows(const std::vector<StoredRow> &rows)
+{
+    for (const StoredRow &row : rows) {
+        if (row.key == m_decoders.planKey && !row.removed) {
+            applyPlan(row.text, row.version, "store");
+        }
+    }
+}
+
+void FleetTables::applyPlan(const std::string &text, RowVersion version, const char *source)
+{
+    if (version <= m_planVersion) {
+        return;
+    }
+    Result<RoutingPlan> plan = m_decoders.decodeRoutingPlan(text);
+    if (!plan) {
+        LogEvent("plan.unreadable", LogEvent::Level::Error).field("row_version", version).error(plan.error());
+        return;
+    }
+    if (plan->version() < m_state.plan->version()) {
+        LogEvent("plan.older", LogEvent::Level::Warning).field("plan", plan->version()).field("in_force", m_state.plan->version());
+        return;
+    }
+    LogEvent("plan.adopted")
+        .field("plan", plan->version())
+        .field("before", m_state.plan->version())
+        .field("row_version", version)
+        .field("source", source)
+        .field("routes", plan->routes().size());
+    m_state.metrics.increment(CounterFamily::Configurations, "adopted");
+    m_planVersion = version;
+    m_planText = text;
+    m_state.plan = std::make_shared<RoutingPlan>(std::move(*plan));
+    m_state.notifyUrgentChange();
+    resizeCaches();
+}
+
+void FleetTables::resizeCaches()
+{
+    for (const Route &route : m_state.plan->routes()) {
+        for (const ServiceWeight &serviceWeight : route.services) {
+            const RoutedService *service = m_state.plan->service(serviceWeight.service);
+            if (service != nullptr && service->engine) {
+                const double tokens = static_cast<double>(service->engine->kvTokens) * m_state.settings.engineCosts.prefixCacheShare;
+                m_state.backends.resizeCaches(serviceWeight.service, static_cast<std::int64_t>(tokens));
+            }
+        }
+    }
+}
+
+// ---- the servers ----
+
+void FleetTables::applyServerRows(const std::vector<StoredRow> &rows, RowVersion version, bool isFullTable)
+{
+    if (isFullTable) {
+        markAllRemoved(version); // Rows that are still present are restored below.
+    }
+    std::vector<BackendRecord> records;
+    for (const StoredRow &row : rows) {
+        // Unreadable rows are kept too, so that peers do not get an older row of the server.
+        m_serverRows[row.key] = row;
+        std::optional<BackendRecord> record = decodeOrRemove(row);
+        if (!record) {
+            continue;
+        }
+        if (isFullTable) {
+            records.push_back(std::move(*record));
+        } else {
+            updateServer(*record, row.version);
+        }
+    }
+    if (isFullTable) {
+        m_state.backends.replaceAll(records, m_state.clock.now());
+        LogEvent("servers.read").field("servers", records.size()).field("row_version", version);
+    }
+    m_state.serversLoaded = true;
+    // Nodes compare row versions, since the store's own version also grows without a change of this table.
+    for (const auto &[key, row] : m_serverRows) {
+        m_serversVersion = std::max(m_serversVersion, row.version);
+    }
+    m_state.notifyUrgentChange();
+}
+
+void FleetTables::markAllRemoved(RowVersion version)
+{
+    for (auto &[key, row] : m_serverRows) {
+        if (!row.removed) {
+            row = {key, "", version, true};
+        }
+    }
+}
+
+std::optional<BackendRecord> FleetTables::decodeOrRemove(const StoredRow &row)
+{
+    if (row.removed) {
+        LogEvent("server.removed").field("server", row.key).field("row_version", row.version);
+        m_state.backends.remove(ReplicaId(row.key), m_state.clock.now());
+        return std::nullopt;
+    }
+    Result<BackendRecord> record = m_decoders.decodeServer(row.key, row.text);
+    if (!record) {
+        LogEvent("server.unreadable", LogEvent::Level::Warning).field("server", row.key).error(record.error());
+        m_state.backends.remove(ReplicaId(row.key), m_state.clock.now());
+        return std::nullopt;
+    }
+    return std::move(*record);
+}
+
+void FleetTables::updateServer(const BackendRecord &record, RowVersion version)
+{
+    if (m_state.backends.update(record, m_state.clock.now())) {
+        LogEvent("server.changed")
+            .field("server", record.id)
+            .field("service", record.service)
+            .field("state", static_cast<int>(record.state))
+            .field("stage", static_cast<int>(record.stage))
+            .field("row_version", version);
+    }
+}
+
+// ---- peers ----
+
+void FleetTables::applySnapshot(const FleetSnapshot &snapshot, RowVersion requested)
+{
+    if (!snapshot.plan.empty()) {
+        applyPlan(snapshot.plan, snapshot.planVersion, "peer");
+    }
+    if (snapshot.serversVersion > m_serversVersion) {
+        applyServerRows(snapshot.servers, snapshot.serversVersion, requested.value() == 0);
+        m_serversVersion = std::max(m_serversVersion, snapshot.serversVersion);
+    }
+}
+
+FleetSnapshot FleetTables::makeSnapshot(const FleetSnapshotRequest &request) const
+{
+    FleetSnapshot snapshot;
+    snapshot.planVersion = m_planVersion;
+    snapshot.plan = request.planVersion < m_planVersion ? m_planText : std::string();
+    snapshot.serversVersion = m_serversVersion;
+    const bool isFirstRequest = request.serversVersion.value() == 0;
+    for (const auto &[key, row] : m_serverRows) {
+        if (row.version > request.serversVersion && !(isFirstRequest && row.removed)) {
+            snapshot.servers.push_back(row);
+        }
+    }
+    return snapshot;
+}
+
+} // namespace apricotarch
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -325,4 +325,25 @@
     BOOST_TEST(usable.front()->record.id.value() == "i-2");
 }
 
+BOOST_AUTO_TEST_CASE(a_server_whose_row_became_unreadable_is_not_used_by_a_node_that_starts_later)
+{
+    // Peers passed the server's last readable row on, so that a restarted node used a server that no other node used any more.
+    Simulation simulation;
+    Node reading(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    reading.tables.rows[ServersTable] = {row("i-1", "r", 2), row("i-2", "r", 3)};
+    reading.tables.version = RowVersion(3);
+    simulation.advance(1s);
+    reading.tables.rows[ServersTable] = {row("i-1", "?", 4), row("i-2", "r", 3)};
+    reading.tables.version = RowVersion(4);
+    simulation.advance(1s);
+    Node started(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
+    started.tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
+    for (int second = 0; second < 5; ++second) {
+        simulation.advance(1s);
+    }
+    const auto usable = started.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now());
+    BOOST_REQUIRE(usable.size() == 1U);
+    BOOST_TEST(usable.front()->record.id.value() == "i-2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
