Use decode engines that have just failed if there is no other

All three decode engines lost connections within a second, 202 until second 20; each was avoided for 0.2 to 3.2 s each time. The rule that avoided servers are used if there is no other was applied to prefill and decode engines together, so prompts found no decode engine: 454 times no_server from second 17 to 20.

Ruled out: servers that had left (server.removed names none of them), the store (lost at one node only), overload (18 refusals as overloaded).

Change: the rule is applied to each stage by itself.

Test: placement/a_prompt/goes_to_a_decode_engine_that_has_just_failed_if_all_of_ them_have fails without the change.

--- a/include/apricotarch/coordination/placement.h
+++ b/include/apricotarch/coordination/placement.h
@@ -141,4 +141,8 @@
 [[nodiscard]] std::vector<BackendPointer> selectCandidates(
     const std::vector<BackendPointer> &servers, const std::set<ReplicaId> &triedServers, TimePoint now);
 
+/// Returns the candidates of selectCandidates() for each stage, so that a prompt still finds a decode engine if all of them are avoided.
+[[nodiscard]] std::vector<BackendPointer> selectEngineCandidates(
+    const std::vector<BackendPointer> &engines, const std::set<ReplicaId> &triedServers, TimePoint now);
+
 } // namespace apricotarch
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -65,6 +65,20 @@
     return notAvoided.empty() ? untried : notAvoided;
 }
 
+std::vector<BackendPointer> selectEngineCandidates(
+    const std::vector<BackendPointer> &engines, const std::set<ReplicaId> &triedServers, TimePoint now)
+{
+    std::vector<BackendPointer> prefillEngines;
+    std::vector<BackendPointer> decodeEngines;
+    for (const BackendPointer &engine : engines) {
+        (engine->record.stage == EngineStage::Prefill ? prefillEngines : decodeEngines).push_back(engine);
+    }
+    std::vector<BackendPointer> candidates = selectCandidates(prefillEngines, triedServers, now);
+    const std::vector<BackendPointer> decodeCandidates = selectCandidates(decodeEngines, triedServers, now);
+    candidates.insert(candidates.end(), decodeCandidates.begin(), decodeCandidates.end());
+    return candidates;
+}
+
 PlacementPlanner::PlacementPlanner(EngineCostModel costs, std::uint64_t seed)
     : m_costs(costs)
     , m_random(seed)
@@ -180,7 +194,7 @@
 {
     BackendPointer best;
     double leastWork = std::numeric_limits<double>::max();
-    for (const BackendPointer &engine : selectCandidates(engines, triedServers, now)) {
+    for (const BackendPointer &engine : selectEngineCandidates(engines, triedServers, now)) {
         if (engine->record.stage == EngineStage::Prefill) {
             continue;
         }
@@ -201,7 +215,7 @@
     std::vector<Candidate> decodeCandidates;
     std::vector<Candidate> prefillCandidates;
     std::vector<CachedPrefix> cachedPrefixes;
-    for (const BackendPointer &engine : selectCandidates(engines, request.triedServers, now)) {
+    for (const BackendPointer &engine : selectEngineCandidates(engines, request.triedServers, now)) {
         cachedPrefixes.push_back({engine, std::min(engine->cache.cachedTokens(request.parts), request.promptTokens)});
     }
     std::vector<CachedPrefix> possibleSources = cachedPrefixes;
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -121,6 +121,20 @@
     BOOST_TEST(placement.tokensToPrefill == 3'700);
 }
 
+BOOST_AUTO_TEST_CASE(goes_to_a_decode_engine_that_has_just_failed_if_all_of_them_have)
+{
+    // Incident inc-428c: all three decode engines lost connections within a second, and 454 prompts were refused.
+    const auto fleet = engines(4, 2);
+    for (const BackendPointer &engine : fleet) {
+        if (engine->record.stage == EngineStage::Decode) {
+            engine->recordFailure(Start);
+        }
+    }
+    PlacementPlanner placementPlanner(EngineCostModel(), 1);
+    BOOST_TEST(static_cast<bool>(placementPlanner.selectEngines(fleet, planRequest(1, 1), spec(), Start).server));
+    BOOST_TEST(static_cast<bool>(placementPlanner.selectDecodeEngine(fleet, {}, Start)));
+}
+
 BOOST_AUTO_TEST_CASE(is_not_sent_again_to_a_server_that_was_tried)
 {
     const auto fleet = engines(0, 2);
