--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -64,6 +64,7 @@
 
     [[nodiscard]] asio::awaitable<void> heartbeatLoop();
     void sendHeartbeat();
+    void logChangesOfView();
     void sendToPeers(const FrontDatagram &datagram);
     [[nodiscard]] FrontHeartbeat makeHeartbeat();
     /// Sends a heartbeat within UrgentHeartbeatDelay. Only with partial views, where changes pass through several nodes.
@@ -99,6 +100,8 @@
     std::optional<TimePoint> m_behindSince; ///< When a peer was first found to have newer rows than this node.
     bool m_catchingUp = false;
     bool m_urgentHeartbeatPending = false;
+    bool m_usedPartialView = false; ///< As of the last heartbeat.
+    NodeId m_coordinator; ///< With partial views: coordinator as of the last heartbeat.
     TimePoint m_loadsRepeatedAt; ///< When the loads were last repeated to the stewards.
     std::map<ReplicaId, TimePoint> m_reportedStageChanges; ///< With partial views: ends of the stage changes that others have ordered.
     std::chrono::microseconds m_loopLag{0}; ///< Moving average of the event loop's timer delay.
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -193,6 +193,7 @@
         const auto lag = std::chrono::duration_cast<std::chrono::microseconds>(m_state.clock.now() - due);
         m_loopLag = (m_loopLag * 7 + lag) / 8;
         sendHeartbeat();
+        logChangesOfView();
         updateRemoteLoad();
         if (m_state.peers.usesPartialView() && m_state.clock.now() - m_loadsRepeatedAt >= ReportedLoads::RepeatInterval) {
             m_loadsRepeatedAt = m_state.clock.now();
@@ -204,6 +205,23 @@
     }
 }
 
+void FleetSynchronizer::logChangesOfView()
+{
+    const TimePoint now = m_state.clock.now();
+    const bool partial = m_state.peers.usesPartialView();
+    if (partial != std::exchange(m_usedPartialView, partial)) {
+        LogEvent("peers.view").field("view", partial ? "partial" : "full").field("nodes", m_state.peers.countBudgetNodes(now));
+    }
+    const CoordinatorSighting coordinator = m_state.peers.coordinator(!m_state.shuttingDown, now);
+    if (partial && coordinator.node != m_coordinator) {
+        LogEvent("peers.coordinator")
+            .field("node", coordinator.node)
+            .field("before", m_coordinator)
+            .field("age_ms", coordinator.age.count());
+        m_coordinator = coordinator.node;
+    }
+}
+
 Duration FleetSynchronizer::heartbeatInterval(std::size_t peerCount) const
 {
     if (m_state.peers.usesPartialView()) {
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -459,6 +459,9 @@
             .field("predicted_ms", std::lround(m_lastPlacement.predictedFirstEventMs));
         event.field("parts_from", m_lastPlacement.prefixSource ? m_lastPlacement.prefixSource->record.id.value() : "");
     }
+    if (!m_groups.empty()) {
+        event.field("group", m_groups[m_groupRank]).field("group_rank", m_groupRank);
+    }
     if (m_prefillDuration) {
         event.field("reader", m_prefillEngine).field("prefill_ms", toMilliseconds(*m_prefillDuration));
     }
