Disconnect callers that do not read a stream without end

Cause: events are relayed as they arrive, whatever the caller reads. With a server that sends events without end the new test read 471 MB for a caller that reads nothing, of 160 MB of memory.

Ruled out: the limits on buffered bodies and events, which relayed events do not reach.

Change: with over 4 MB unsent the caller is disconnected and logged, which also closes the connection to the server.

Measured: request_forwarder/bytes_that_are_no_answer/and_are_events_without_ end_for_a_caller_that_does_not_read_are_cut_off fails before, passes after.

--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/this_coro.hpp>
 
+#include "apricotarch/base/log.h"
+
 // Attempts: sending a request to a backend server and handling the outcome.
 
 namespace apricotarch
@@ -33,6 +35,9 @@
 /// Interval at which an overdue prefill is checked.
 constexpr Duration OverduePollInterval = 50ms;
 
+/// A caller that reads so slowly that more than this waits to be sent is disconnected.
+constexpr std::size_t MaxUnsentBytes = 4UL * 1024 * 1024;
+
 /// Lowest priority that servers support; 0 is the most urgent.
 constexpr int LowestPriority = 9;
 
@@ -247,6 +252,13 @@
         m_response.beginStream(*activeAttempt.answer);
     }
     m_response.sendEvents(events);
+    if (m_caller.pending() > MaxUnsentBytes) {
+        LogEvent("request.caller_too_slow", LogEvent::Level::Warning)
+            .field("request", m_request.id)
+            .field("server", activeAttempt.backend->record.id)
+            .field("unsent_bytes", m_caller.pending());
+        m_caller.close();
+    }
     m_state.eventRates[m_serviceId].add(static_cast<double>(m_eventSplitter.count() - eventsBefore), m_state.clock.now());
 }
 
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -434,6 +434,22 @@
         "data: " + std::string(64'000, 'x') + "\n");
 }
 
+BOOST_AUTO_TEST_CASE(and_are_events_without_end_for_a_caller_that_does_not_read_are_cut_off)
+{
+    TestNode node;
+    ScriptedServer &server = node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head), false, chunk("data: " + std::string(64'000, 'x') + "\n\n")};
+    });
+    tcp::socket caller = node.connectCaller();
+    boost::asio::write(caller, boost::asio::buffer(CheckRequest));
+    const auto until = std::chrono::steady_clock::now() + 4s;
+    while (!server.repetitionEnded && std::chrono::steady_clock::now() < until) {
+        node.loop.run_one_for(10ms);
+    }
+    BOOST_TEST(server.repetitionEnded);
+    BOOST_TEST(server.repeatedBytes < MaxBytesRead);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_server_that_keeps_sending)
