Number heartbeats and load updates of a process in one sequence

A node that still sends to all others takes the number of a load update for that of the last heartbeat, so after a few updates it dropped all heartbeats of a node with a partial view as old, while a large fleet starts or shrinks.

Ruled out: receivers with partial views, which keep the numbers of load updates by engine.

Change: one MessageSequence for both.

Measured: fleet_synchronizer/nodes/of_which_one_has_a_partial_view_and_the_ other_not_keep_hearing_each_other fails before, passes after.

--- a/include/apricotarch/app/engine_group_loads.h
+++ b/include/apricotarch/app/engine_group_loads.h
@@ -31,8 +31,9 @@
      * @param state the node's state; must outlive this object
      * @param link the link to other nodes; must outlive this object
      * @param incarnation the incarnation of this process
+     * @param sequence numbers this process's heartbeats and load updates; must outlive this object
      */
-    EngineGroupLoads(FrontState &state, AuthenticatedLink &link, Incarnation incarnation);
+    EngineGroupLoads(FrontState &state, AuthenticatedLink &link, Incarnation incarnation, MessageSequence &sequence);
 
     // ---- of this node's own requests ----
 
@@ -89,7 +90,7 @@
     FrontState &m_state;
     AuthenticatedLink &m_link;
     Incarnation m_incarnation;
-    std::int64_t m_sequence = 0;
+    MessageSequence &m_sequence;
     std::int64_t m_lastQuery = 0;
     std::map<std::int64_t, PendingQuery> m_queries;
     ReportedLoads m_reportedLoads;
--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -92,8 +92,8 @@
     FleetTables m_fleetTables;
     NodeRegistration m_registration;
     Incarnation m_incarnation;
+    MessageSequence m_sequence;
     EngineGroupLoads m_groupLoads;
-    std::int64_t m_sequence = 0;
     RowVersion m_planReadVersion; ///< Version up to which the configuration's table has been read; 0 requests a full read.
     RowVersion m_serversReadVersion; ///< Version up to which the servers' table has been read; 0 requests a full read.
     std::array<bool, 2> m_storeCallFailed{}; ///< By table: whether the last call to the store failed.
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -22,6 +22,19 @@
 namespace apricotarch
 {
 
+/// Numbers the heartbeats and load updates of one process. Receivers drop those with a number that is not higher than the last one.
+class MessageSequence
+{
+public:
+    [[nodiscard]] std::int64_t next() noexcept
+    {
+        return ++m_last;
+    }
+
+private:
+    std::int64_t m_last = 0;
+};
+
 /// Work that the sender has outstanding at one backend server.
 struct ServerLoad
 {
--- a/src/app/engine_group_loads.cpp
+++ b/src/app/engine_group_loads.cpp
@@ -33,10 +33,11 @@
 
 } // namespace
 
-EngineGroupLoads::EngineGroupLoads(FrontState &state, AuthenticatedLink &link, Incarnation incarnation)
+EngineGroupLoads::EngineGroupLoads(FrontState &state, AuthenticatedLink &link, Incarnation incarnation, MessageSequence &sequence)
     : m_state(state)
     , m_link(link)
     , m_incarnation(incarnation)
+    , m_sequence(sequence)
 {
 }
 
@@ -68,7 +69,7 @@
 
 void EngineGroupLoads::report(const Backend &engine, const std::vector<PromptPart> &prompt)
 {
-    const LoadUpdate update{m_incarnation, ++m_sequence, m_state.settings.peerAddress, {engine.record.id, engine.localLoad}, prompt};
+    const LoadUpdate update{m_incarnation, m_sequence.next(), m_state.settings.peerAddress, {engine.record.id, engine.localLoad}, prompt};
     for (const Endpoint &steward : selectStewards(engine.record.service, m_state.engineGroups.groupOf(engine))) {
         if (steward != m_state.settings.peerAddress) {
             send(steward, update);
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -68,7 +68,7 @@
     , m_fleetTables(state, std::move(decoders))
     , m_registration(state, tables, rows)
     , m_incarnation(incarnation)
-    , m_groupLoads(state, link, incarnation)
+    , m_groupLoads(state, link, incarnation, m_sequence)
 {
 }
 
@@ -238,7 +238,7 @@
     FrontHeartbeat heartbeat;
     heartbeat.node = settings.node;
     heartbeat.incarnation = m_incarnation;
-    heartbeat.sequence = ++m_sequence;
+    heartbeat.sequence = m_sequence.next();
     heartbeat.zone = settings.zone;
     heartbeat.callerAddress = settings.callerAddress;
     heartbeat.peerAddress = settings.peerAddress;
@@ -335,7 +335,7 @@
     if (peers == 0 || tokens < MinLoadUpdateTokensPerPeer * static_cast<std::int64_t>(peers)) {
         return;
     }
-    sendToPeers(LoadUpdate{m_incarnation, ++m_sequence, m_state.settings.peerAddress, {backend.record.id, backend.localLoad}, {}});
+    sendToPeers(LoadUpdate{m_incarnation, m_sequence.next(), m_state.settings.peerAddress, {backend.record.id, backend.localLoad}, {}});
 }
 
 void FleetSynchronizer::announceShutdown()
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -86,8 +86,8 @@
     Clock &m_clock;
 };
 
-/// Returns decoders for test rows: a configuration is the digits of its version, a server's row is "r" (ready) or "d" (draining), and
-/// "?" cannot be decoded.
+/// Returns decoders for test rows: a configuration is the digits of its version, a server's row is "r" (ready), "d" (draining) or "e" (a
+/// ready decode engine), and "?" cannot be decoded.
 RowDecoders testDecoders()
 {
     const auto plan = [](const std::string &text) -> Result<RoutingPlan> {
@@ -101,12 +101,13 @@
         record.id = ReplicaId(key);
         record.service = ServiceId("desk");
         record.state = text == "d" ? BackendState::Draining : BackendState::Ready;
+        record.stage = text == "e" ? EngineStage::Decode : EngineStage::Any;
         return record;
     };
     return {PlanTable, "config", ServersTable, plan, server};
 }
 
-FrontSettings makeSettings(const std::string &name, const std::string &host, std::uint16_t peerPort)
+FrontSettings makeSettings(const std::string &name, const std::string &host, std::uint16_t peerPort, std::size_t maxFullMeshNodes)
 {
     FrontSettings settings;
     settings.node = NodeId(name);
@@ -114,15 +115,22 @@
     settings.callerAddress = {host, 17'460};
     settings.peerAddress = {host, peerPort};
     settings.seeds = {"127.0.0.1:1", "127.0.0.2:1"};
+    settings.maxFullMeshNodes = maxFullMeshNodes;
     return settings;
 }
 
 /// One node with a store of its own, on the test's event loop and clock.
 struct Node
 {
-    Node(EventLoopPool &eventLoops, Clock &clock, std::uint16_t peerPort, const std::string &name, const std::string &host)
+    Node(EventLoopPool &eventLoops,
+        Clock &clock,
+        std::uint16_t peerPort,
+        const std::string &name,
+        const std::string &host,
+        std::size_t maxFullMeshNodes = DefaultMaxFullMeshNodes)
         : tables(clock)
-        , state(eventLoops.coordinationLoop().get_executor(), makeSettings(name, host, peerPort), clock, protocolAdapter, 1)
+        , state(
+              eventLoops.coordinationLoop().get_executor(), makeSettings(name, host, peerPort, maxFullMeshNodes), clock, protocolAdapter, 1)
         , link(eventLoops, authenticator, state.metrics)
         , synchronizer(state, tables, tables, link, testDecoders(), Incarnation(1))
     {
@@ -291,6 +299,33 @@
     BOOST_TEST(other.state.backends.find(ReplicaId("i-1"))->load().promptTokens == 0);
 }
 
+BOOST_AUTO_TEST_CASE(of_which_one_has_a_partial_view_and_the_other_not_keep_hearing_each_other)
+{
+    // While a large fleet starts, some nodes know it already and others do not. Load updates and heartbeats count in one sequence; with
+    // two, a node took the other's heartbeats for old ones after its load updates.
+    Simulation simulation;
+    Node full(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    Node partial(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2", 0);
+    for (Node *node : {&full, &partial}) {
+        node->tables.rows[PlanTable] = {row("config", "3", 1)};
+        node->tables.rows[ServersTable] = {row("i-1", "e", 2)};
+    }
+    for (int second = 0; second < 3; ++second) {
+        simulation.advance(1s);
+    }
+    const BackendPointer engine = partial.state.backends.find(ReplicaId("i-1"));
+    BOOST_REQUIRE(engine);
+    for (int change = 0; change < 100; ++change) {
+        partial.state.notifyLoadChanged(*engine, 0);
+    }
+    for (int second = 0; second < 5; ++second) {
+        simulation.advance(1s);
+    }
+    const auto listed = full.state.peers.callerAddresses(simulation.clock.now());
+    BOOST_REQUIRE(listed.size() == 1U);
+    BOOST_TEST(listed.front().address.host == "127.0.0.2");
+}
+
 BOOST_AUTO_TEST_CASE(discover_each_other_through_a_third_node)
 {
     // The seeds are 127.0.0.1 and 127.0.0.2; the stores of these nodes do not contain the other nodes.
