--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -82,7 +82,10 @@
         if (!request) {
             return std::nullopt;
         }
-        return encodeFleetSnapshot(makeSnapshot(*request));
+        std::string snapshot = encodeFleetSnapshot(makeSnapshot(*request));
+        m_state.metrics.increment(CounterFamily::Peers, "snapshot_sent");
+        m_state.metrics.add(CounterFamily::Peers, "snapshot_bytes_sent", snapshot.size());
+        return snapshot;
     };
     Result<void> listening = m_link.listen(m_state.settings.peerAddress, onDatagram, onRequest);
     if (!listening) {
@@ -448,14 +451,28 @@
 
 asio::awaitable<void> FleetSynchronizer::catchUp(Endpoint peer)
 {
+    const TimePoint startedAt = m_state.clock.now();
+    const Duration behind = startedAt - m_behindSince.value_or(startedAt);
     const RowVersion since = m_fleetTables.serversVersion();
     std::string request = encodeFleetSnapshotRequest({m_state.settings.node, m_fleetTables.planVersion(), since});
     const Result<std::string> response = co_await m_link.sendRequest(peer, std::move(request));
     const Result<FleetSnapshot> snapshot =
         response ? decodeFleetSnapshot(*response, peer.text()) : Result<FleetSnapshot>(Failure(response.error()));
     if (!snapshot) {
-        LogEvent("peer.no_snapshot", LogEvent::Level::Warning).error(snapshot.error());
+        m_state.metrics.increment(CounterFamily::Peers, "snapshot_failed");
+        LogEvent("peer.no_snapshot", LogEvent::Level::Warning)
+            .field("behind_ms", toMilliseconds(behind))
+            .field("ms", toMilliseconds(m_state.clock.now() - startedAt))
+            .error(snapshot.error());
     } else {
+        m_state.metrics.increment(CounterFamily::Peers, "snapshot_received");
+        LogEvent("peer.snapshot")
+            .field("peer", peer.text())
+            .field("plan_row", snapshot->planVersion)
+            .field("servers_row", snapshot->serversVersion)
+            .field("bytes", response->size())
+            .field("behind_ms", toMilliseconds(behind))
+            .field("ms", toMilliseconds(m_state.clock.now() - startedAt));
         m_fleetTables.applySnapshot(*snapshot, since);
         if (snapshot->serversVersion == m_fleetTables.serversVersion()) {
             m_serversReadVersion = std::max(m_serversReadVersion, snapshot->serversVersion);
