Spread the configuration over all peers, and request servers apart from it

Cause: every node that does not read the store asked the first peer by address with newer rows, so 57 nodes asked the same one at once. Each transfer had the whole configuration (0.7 MB with 4,251 routes) and had to end within 1 s. Over a link of 10 or 200 Mbit/s none did, all were repeated to the same peer, and the link stayed full. Servers' rows travelled behind the configuration in the same message, so no change of a server arrived either. Class: many receivers of one source, repeated whole transfers after a fixed time, and small urgent changes behind a large one.

Change: nodes choose among all peers with newer rows at random, their own zone first; a node transfers the configuration to four others at a time and declines the rest at once, so that those who have it pass it on; it is compressed; the time for a transfer grows with its size; failed and busy peers are avoided for a while; the configuration and the servers are requested apart.

Why this works: the number of sources grows by up to four times with each transfer, and a server's row of 100 bytes waits for nothing.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -197,9 +197,11 @@
 /// Requests the rows of the platform's tables that a front node has read.
 struct FleetSnapshotRequest {
   1: required string sender
-  /// Versions that the sender has. Only newer rows are requested.
+  /// Versions that the sender has. Only newer rows are requested; none if the version is the maximum of i64.
   2: required i64 planVersion
   3: required i64 serversVersion
+  /// Whether the sender can read FleetSnapshot.compressedPlan.
+  4: optional bool acceptsCompressedPlan
 }
 
 /// A row of one of the platform's tables, in the platform's format.
@@ -219,4 +221,8 @@
   /// Rows that are newer than those of the requesting node.
   4: required list<StoredRow> servers
   5: required list<StoredRow> nodes
+  /// Set in place of `plan` if the requesting node accepts it; see base/compression.h.
+  6: optional binary compressedPlan
+  /// Set if the sender transfers the configuration to too many other nodes; nothing else is set then.
+  7: optional bool busy
 }
--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -16,6 +16,7 @@
 #include "apricotarch/app/fleet_tables.h"
 #include "apricotarch/app/front_state.h"
 #include "apricotarch/app/node_registration.h"
+#include "apricotarch/app/snapshot_exchange.h"
 #include "apricotarch/coordination/platform_services.h"
 #include "apricotarch/coordination/table_reader.h"
 #include "apricotarch/transport/authenticated_link.h"
@@ -79,9 +80,6 @@
     void handleMessage(const LoadUpdate &update);
     void handleMessage(const EngineGroupQuery &query);
     void handleMessage(const EngineGroupReport &report);
-    void catchUpIfBehind(TimePoint now);
-    [[nodiscard]] asio::awaitable<void> catchUp(Endpoint peer);
-    [[nodiscard]] FleetSnapshot makeSnapshot(const FleetSnapshotRequest &request) const;
     [[nodiscard]] Duration heartbeatInterval(std::size_t peerCount) const;
     void updateRemoteLoad();
     void removeExpired();
@@ -91,14 +89,13 @@
     AuthenticatedLink &m_link;
     FleetTables m_fleetTables;
     NodeRegistration m_registration;
+    SnapshotExchange m_snapshots;
     Incarnation m_incarnation;
     MessageSequence m_sequence;
     EngineGroupLoads m_groupLoads;
     RowVersion m_planReadVersion; ///< Version up to which the configuration's table has been read; 0 requests a full read.
     RowVersion m_serversReadVersion; ///< Version up to which the servers' table has been read; 0 requests a full read.
     std::array<bool, 2> m_storeCallFailed{}; ///< By table: whether the last call to the store failed.
-    std::optional<TimePoint> m_behindSince; ///< When a peer was first found to have newer rows than this node.
-    bool m_catchingUp = false;
     bool m_urgentHeartbeatPending = false;
     bool m_usedPartialView = false; ///< As of the last heartbeat.
     NodeId m_coordinator; ///< With partial views: coordinator as of the last heartbeat.
--- a/include/apricotarch/app/fleet_tables.h
+++ b/include/apricotarch/app/fleet_tables.h
@@ -50,13 +50,18 @@
      */
     void applyServerRows(const std::vector<StoredRow> &rows, RowVersion version, bool isFullTable);
 
-    /// Applies the rows that a peer has sent. @param requested version of the servers' table that this node had asked from
-    void applySnapshot(const FleetSnapshot &snapshot, RowVersion requested);
+    /**
+     * Applies the rows that a peer has sent.
+     * @param snapshot the peer's answer
+     * @param request the request that it answers
+     * @return MalformedMessage or MessageTooLarge if the configuration cannot be decompressed; the servers are applied even then
+     */
+    [[nodiscard]] Result<void> applySnapshot(const FleetSnapshot &snapshot, const FleetSnapshotRequest &request);
 
     // ---- views ----
 
     /// Returns the rows that a peer lacks, without the nodes' table.
-    [[nodiscard]] FleetSnapshot makeSnapshot(const FleetSnapshotRequest &request) const;
+    [[nodiscard]] FleetSnapshot makeSnapshot(const FleetSnapshotRequest &request);
 
     /// Row version of the configuration in force.
     [[nodiscard]] RowVersion planVersion() const noexcept
@@ -76,7 +81,8 @@
     }
 
 private:
-    void applyPlan(const std::string &text, RowVersion version, const char *source);
+    /// @return whether the configuration has been adopted
+    bool applyPlan(const std::string &text, RowVersion version, const char *source);
     void resizeCaches();
     void markAllRemoved(RowVersion version);
     /// Decodes a row and removes its server if the row was removed or cannot be decoded. @return the server if it is to be used
@@ -88,6 +94,7 @@
     RowVersion m_planVersion;
     RowVersion m_serversVersion; ///< Highest row version in m_serverRows, or that of a snapshot if it is higher.
     std::string m_planText;
+    std::string m_compressedPlan; ///< m_planText as compressed by this node or by a peer; empty until it is needed.
     std::map<std::string, StoredRow> m_serverRows; ///< Includes removed servers, so that snapshots report the removal to peers.
 };
 
--- /dev/null
+++ b/include/apricotarch/app/snapshot_exchange.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/**
+ * @file
+ * Exchange of the platform's rows between front nodes. Most nodes of a large fleet do not read the store; they read rows from peers
+ * that have newer ones. The configuration and the servers are requested separately, since a configuration may be a thousand times
+ * larger than a change of a server.
+ */
+
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "apricotarch/app/fleet_tables.h"
+#include "apricotarch/app/front_state.h"
+#include "apricotarch/app/node_registration.h"
+#include "apricotarch/transport/authenticated_link.h"
+
+namespace apricotarch
+{
+
+/// Requests rows from peers and answers their requests. Not thread-safe; used on one event loop.
+class SnapshotExchange
+{
+public:
+    /**
+     * @param state the node's state; must outlive this object
+     * @param tables the node's rows; must outlive this object
+     * @param registration provides the nodes' table; must outlive this object
+     * @param link the link to other nodes; must outlive this object
+     */
+    SnapshotExchange(FrontState &state, FleetTables &tables, const NodeRegistration &registration, AuthenticatedLink &link);
+
+    /// Requests the rows in which this node is behind its peers. Must be called after each heartbeat of a peer.
+    void catchUp();
+
+    /// Answers a request of a peer. @return the reply, or nothing if the request is malformed
+    [[nodiscard]] std::optional<FrameReply> reply(const std::string &bytes, const std::string &peer);
+
+    std::function<void()> onRowsAdopted; ///< Called after rows of a peer have been applied.
+
+private:
+    /// State of the requests for one table.
+    struct Follower
+    {
+        const char *table; ///< Name for logs.
+        RowVersion FrontHeartbeat::*reported; ///< Version that heartbeats report.
+        RowVersion (FleetTables::*known)() const noexcept; ///< Version that this node has.
+        std::optional<RowVersion> FleetSnapshotRequest::*requested; ///< Field of the request that asks for the table.
+        std::optional<TimePoint> behindSince; ///< When a peer was first found to have newer rows than this node.
+        bool requesting = false;
+        std::map<Endpoint, TimePoint> avoidUntil; ///< Peers that have failed or were busy.
+    };
+
+    void catchUp(Follower &follower);
+    [[nodiscard]] asio::awaitable<void> request(Follower &follower, Endpoint peer);
+    /// Applies a peer's answer. @return how long the peer is avoided
+    [[nodiscard]] Duration handleSnapshot(Follower &follower,
+        const FleetSnapshotRequest &request,
+        const Result<std::string> &response,
+        const Endpoint &peer,
+        TimePoint requestedAt);
+    [[nodiscard]] FleetSnapshot makeSnapshot(const FleetSnapshotRequest &request);
+
+    FrontState &m_state;
+    FleetTables &m_tables;
+    const NodeRegistration &m_registration;
+    AuthenticatedLink &m_link;
+    std::array<Follower, 2> m_followers;
+    boost::intrusive_ptr<TransferToken> m_transfers; ///< Shared by all replies that contain the configuration.
+};
+
+} // namespace apricotarch
--- a/include/apricotarch/coordination/peer_table.h
+++ b/include/apricotarch/coordination/peer_table.h
@@ -15,6 +15,7 @@
 
 #include "apricotarch/base/clock.h"
 #include "apricotarch/coordination/coordinator_view.h"
+#include "apricotarch/coordination/snapshot_source.h"
 #include "apricotarch/state/front_heartbeat.h"
 
 namespace apricotarch
@@ -178,12 +179,13 @@
     [[nodiscard]] bool shouldReadStore(TimePoint now);
 
     /**
-     * Returns the address of a live peer that has a newer configuration or table of servers than this node, if there is one.
-     * @param plan version of this node's configuration
-     * @param servers version of this node's table of servers
+     * Returns the live peers that have newer rows of a table than this node.
+     * @param version member of the heartbeat that holds the table's version
+     * @param known version that this node has
      * @param now current time
      */
-    [[nodiscard]] std::optional<Endpoint> findPeerWithNewerRows(RowVersion plan, RowVersion servers, TimePoint now) const;
+    [[nodiscard]] std::vector<SnapshotSource> findPeersWithNewerRows(
+        RowVersion FrontHeartbeat::*version, RowVersion known, TimePoint now) const;
 
 private:
     /// Returns whether the latest heartbeat of @p peer is not older than @p time.
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -161,18 +162,22 @@
 struct FleetSnapshotRequest
 {
     NodeId sender;
-    RowVersion planVersion; ///< Version of the configuration row that the sender has.
-    RowVersion serversVersion; ///< Version up to which the sender has the table of servers.
+    std::optional<RowVersion> planVersion; ///< Version of the configuration row that the sender has; empty if it is not requested.
+    /// Version up to which the sender has the table of servers; empty if it is not requested.
+    std::optional<RowVersion> serversVersion;
+    bool acceptsCompressedPlan = false;
 };
 
 /// The rows of the platform's tables that the requesting node lacks, as last read by the answering node.
 struct FleetSnapshot
 {
     RowVersion planVersion; ///< 0 if no configuration is known.
-    std::string plan; ///< Empty if the requesting node already has this version.
+    std::string plan; ///< Empty if the requesting node already has this version, or if it is compressed.
+    std::string compressedPlan; ///< The configuration as compressed by compressText().
     RowVersion serversVersion;
     std::vector<StoredRow> servers;
     std::vector<StoredRow> nodes;
+    bool busy = false; ///< The answering node transfers the configuration to too many other nodes; nothing else is set.
 };
 
 } // namespace apricotarch
--- a/include/apricotarch/transport/authenticated_link.h
+++ b/include/apricotarch/transport/authenticated_link.h
@@ -10,6 +10,9 @@
 #include <optional>
 #include <string>
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include "apricotarch/base/clock.h"
 #include "apricotarch/base/endpoint.h"
 #include "apricotarch/base/error.h"
@@ -20,6 +23,18 @@
 namespace apricotarch
 {
 
+/// Shared by all replies whose simultaneous transfers are limited; the number of references to it counts them.
+struct TransferToken : boost::intrusive_ref_counter<TransferToken>
+{
+};
+
+/// Reply to a request of a peer.
+struct FrameReply
+{
+    std::string bytes;
+    boost::intrusive_ptr<TransferToken> transfer; ///< If set, it is held until the peer has the reply or has given up.
+};
+
 /// Sends and receives the messages of one node. Messages not authenticated with the installation's key are dropped and counted.
 class AuthenticatedLink
 {
@@ -27,7 +42,7 @@
     using DatagramHandler = std::function<void(const std::string &bytes, const std::string &peer)>;
 
     /// Returns the reply to a request, or nothing if the request is malformed.
-    using RequestHandler = std::function<std::optional<std::string>(const std::string &bytes, const std::string &peer)>;
+    using RequestHandler = std::function<std::optional<FrameReply>(const std::string &bytes, const std::string &peer)>;
 
     /**
      * @param eventLoops event loops; all messages are handled on the coordination loop
@@ -51,7 +66,10 @@
     /// Authenticates a message. @return bytes that can be sent to any number of peers
     [[nodiscard]] std::string authenticate(std::string_view bytes) const;
 
-    /// Sends a request and waits for its reply. @return the reply; ConnectFailed, ConnectionLost, TimedOut, MessageTooLarge or Refused
+    /**
+     * Sends a request and waits for its reply. The time allowed for a reply grows with its size.
+     * @return the reply; ConnectFailed, ConnectionLost, TimedOut, MessageTooLarge or Refused
+     */
     [[nodiscard]] asio::awaitable<Result<std::string>> sendRequest(Endpoint peer, std::string bytes);
 
 private:
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -23,10 +23,6 @@
 /// Pause after a change of the servers' table, so that one call returns several changes.
 constexpr Duration ServerChangesPause = 250ms;
 
-/// A node that has been behind its peers for this long reads from one of them. The store itself usually delivers
-/// changes within this time.
-constexpr Duration CatchUpDelay = 400ms;
-
 /// An engine receives no requests for this long after a peer has reported its stage change. The peer repeats the report in each
 /// heartbeat until the change ends.
 constexpr Duration StageChangeHold = 1200ms;
@@ -67,6 +63,7 @@
     , m_link(link)
     , m_fleetTables(state, std::move(decoders))
     , m_registration(state, tables, rows)
+    , m_snapshots(state, m_fleetTables, m_registration, link)
     , m_incarnation(incarnation)
     , m_groupLoads(state, link, incarnation, m_sequence)
 {
@@ -77,15 +74,13 @@
     const auto onDatagram = [this](const std::string &bytes, const std::string &peer) {
         handleDatagram(bytes, peer);
     };
-    const auto onRequest = [this](const std::string &bytes, const std::string &peer) -> std::optional<std::string> {
-        const Result<FleetSnapshotRequest> request = decodeFleetSnapshotRequest(bytes, peer);
-        if (!request) {
-            return std::nullopt;
-        }
-        std::string snapshot = encodeFleetSnapshot(makeSnapshot(*request));
-        m_state.metrics.increment(CounterFamily::Peers, "snapshot_sent");
-        m_state.metrics.add(CounterFamily::Peers, "snapshot_bytes_sent", snapshot.size());
-        return snapshot;
+    const auto onRequest = [this](const std::string &bytes, const std::string &peer) {
+        return m_snapshots.reply(bytes, peer);
+    };
+    m_snapshots.onRowsAdopted = [this] {
+        // Reading the store continues after the rows that peers have sent.
+        m_planReadVersion = std::max(m_planReadVersion, m_fleetTables.planVersion());
+        m_serversReadVersion = std::max(m_serversReadVersion, m_fleetTables.serversVersion());
     };
     Result<void> listening = m_link.listen(m_state.settings.peerAddress, onDatagram, onRequest);
     if (!listening) {
@@ -404,7 +399,7 @@
     if (!heartbeat.crashRecords.empty() && m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now)) {
         requestUrgentHeartbeat();
     }
-    catchUpIfBehind(now);
+    m_snapshots.catchUp();
 }
 
 void FleetSynchronizer::recordStageChanges(const std::vector<EngineStageChange> &changes)
@@ -431,73 +426,6 @@
     }
 }
 
-void FleetSynchronizer::catchUpIfBehind(TimePoint now)
-{
-    const std::optional<Endpoint> peer =
-        m_state.peers.findPeerWithNewerRows(m_fleetTables.planVersion(), m_fleetTables.serversVersion(), now);
-    if (!peer) {
-        m_behindSince.reset();
-        return;
-    }
-    if (!m_behindSince) {
-        m_behindSince = now;
-    }
-    const bool readsFromPeers = !m_state.peers.shouldReadStore(now);
-    if ((readsFromPeers || now - *m_behindSince >= CatchUpDelay) && !m_catchingUp) {
-        m_catchingUp = true;
-        asio::co_spawn(m_state.executor, catchUp(*peer), asio::detached);
-    }
-}
-
-asio::awaitable<void> FleetSynchronizer::catchUp(Endpoint peer)
-{
-    const TimePoint startedAt = m_state.clock.now();
-    const Duration behind = startedAt - m_behindSince.value_or(startedAt);
-    const RowVersion since = m_fleetTables.serversVersion();
-    std::string request = encodeFleetSnapshotRequest({m_state.settings.node, m_fleetTables.planVersion(), since});
-    const Result<std::string> response = co_await m_link.sendRequest(peer, std::move(request));
-    const Result<FleetSnapshot> snapshot =
-        response ? decodeFleetSnapshot(*response, peer.text()) : Result<FleetSnapshot>(Failure(response.error()));
-    if (!snapshot) {
-        m_state.metrics.increment(CounterFamily::Peers, "snapshot_failed");
-        LogEvent("peer.no_snapshot", LogEvent::Level::Warning)
-            .field("behind_ms", toMilliseconds(behind))
-            .field("ms", toMilliseconds(m_state.clock.now() - startedAt))
-            .error(snapshot.error());
-    } else {
-        m_state.metrics.increment(CounterFamily::Peers, "snapshot_received");
-        LogEvent("peer.snapshot")
-            .field("peer", peer.text())
-            .field("plan_row", snapshot->planVersion)
-            .field("servers_row", snapshot->serversVersion)
-            .field("bytes", response->size())
-            .field("behind_ms", toMilliseconds(behind))
-            .field("ms", toMilliseconds(m_state.clock.now() - startedAt));
-        m_fleetTables.applySnapshot(*snapshot, since);
-        if (snapshot->serversVersion == m_fleetTables.serversVersion()) {
-            m_serversReadVersion = std::max(m_serversReadVersion, snapshot->serversVersion);
-        }
-        for (const StoredRow &row : snapshot->nodes) {
-            if (const Result<PeerAddress> node = parsePeerAddress(row.text)) {
-                m_state.peers.addAddress(*node, m_state.clock.now());
-            }
-        }
-    }
-    m_behindSince.reset();
-    m_catchingUp = false;
-}
-
-FleetSnapshot FleetSynchronizer::makeSnapshot(const FleetSnapshotRequest &request) const
-{
-    FleetSnapshot snapshot = m_fleetTables.makeSnapshot(request);
-    if (request.serversVersion.value() == 0) {
-        for (const auto &[key, address] : m_registration.nodes()) {
-            snapshot.nodes.push_back({key, address, RowVersion(), false});
-        }
-    }
-    return snapshot;
-}
-
 void FleetSynchronizer::updateRemoteLoad()
 {
     const TimePoint now = m_state.clock.now();
--- a/src/app/fleet_tables.cpp
+++ b/src/app/fleet_tables.cpp
@@ -3,11 +3,20 @@
 #include <algorithm>
 #include <utility>
 
+#include "apricotarch/base/compression.h"
 #include "apricotarch/base/log.h"
 
 namespace apricotarch
 {
 
+namespace
+{
+
+/// Largest configuration that is accepted from a peer.
+constexpr std::size_t MaxPlanBytes = 64UL * 1024 * 1024;
+
+} // namespace
+
 FleetTables::FleetTables(FrontState &state, RowDecoders decoders)
     : m_state(state)
     , m_decoders(std::move(decoders))
@@ -25,19 +34,19 @@
     }
 }
 
-void FleetTables::applyPlan(const std::string &text, RowVersion version, const char *source)
+bool FleetTables::applyPlan(const std::string &text, RowVersion version, const char *source)
 {
     if (version <= m_planVersion) {
-        return;
+        return false;
     }
     Result<RoutingPlan> plan = m_decoders.decodeRoutingPlan(text);
     if (!plan) {
         LogEvent("plan.unreadable", LogEvent::Level::Error).field("row_version", version).error(plan.error());
-        return;
+        return false;
     }
     if (plan->version() < m_state.plan->version()) {
         LogEvent("plan.older", LogEvent::Level::Warning).field("plan", plan->version()).field("in_force", m_state.plan->version());
-        return;
+        return false;
     }
     LogEvent("plan.adopted")
         .field("plan", plan->version())
@@ -48,9 +57,11 @@
     m_state.metrics.increment(CounterFamily::Configurations, "adopted");
     m_planVersion = version;
     m_planText = text;
+    m_compressedPlan.clear();
     m_state.plan = std::make_shared<RoutingPlan>(std::move(*plan));
     m_state.notifyUrgentChange();
     resizeCaches();
+    return true;
 }
 
 void FleetTables::resizeCaches()
@@ -138,26 +149,45 @@
 
 // ---- peers ----
 
-void FleetTables::applySnapshot(const FleetSnapshot &snapshot, RowVersion requested)
+Result<void> FleetTables::applySnapshot(const FleetSnapshot &snapshot, const FleetSnapshotRequest &request)
 {
+    if (request.serversVersion && snapshot.serversVersion > m_serversVersion) {
+        applyServerRows(snapshot.servers, snapshot.serversVersion, request.serversVersion->value() == 0);
+        m_serversVersion = std::max(m_serversVersion, snapshot.serversVersion);
+    }
     if (!snapshot.plan.empty()) {
         applyPlan(snapshot.plan, snapshot.planVersion, "peer");
     }
-    if (snapshot.serversVersion > m_serversVersion) {
-        applyServerRows(snapshot.servers, snapshot.serversVersion, requested.value() == 0);
-        m_serversVersion = std::max(m_serversVersion, snapshot.serversVersion);
+    if (!snapshot.compressedPlan.empty() && snapshot.planVersion > m_planVersion) {
+        const Result<std::string> text = decompressText(snapshot.compressedPlan, MaxPlanBytes, "plan.decompress", "");
+        if (!text) {
+            return Failure(text.error());
+        }
+        if (applyPlan(*text, snapshot.planVersion, "peer")) {
+            m_compressedPlan = snapshot.compressedPlan;
+        }
     }
+    return {};
 }
 
-FleetSnapshot FleetTables::makeSnapshot(const FleetSnapshotRequest &request) const
+FleetSnapshot FleetTables::makeSnapshot(const FleetSnapshotRequest &request)
 {
     FleetSnapshot snapshot;
     snapshot.planVersion = m_planVersion;
-    snapshot.plan = request.planVersion < m_planVersion ? m_planText : std::string();
     snapshot.serversVersion = m_serversVersion;
-    const bool isFirstRequest = request.serversVersion.value() == 0;
+    if (request.planVersion && *request.planVersion < m_planVersion) {
+        if (request.acceptsCompressedPlan && m_compressedPlan.empty()) {
+            m_compressedPlan = compressText(m_planText);
+        }
+        (request.acceptsCompressedPlan ? snapshot.compressedPlan : snapshot.plan) =
+            request.acceptsCompressedPlan ? m_compressedPlan : m_planText;
+    }
+    if (!request.serversVersion) {
+        return snapshot;
+    }
+    const bool isFirstRequest = request.serversVersion->value() == 0;
     for (const auto &[key, row] : m_serverRows) {
-        if (row.version > request.serversVersion && !(isFirstRequest && row.removed)) {
+        if (row.version > *request.serversVersion && !(isFirstRequest && row.removed)) {
             snapshot.servers.push_back(row);
         }
     }
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -411,19 +411,15 @@
     return precedingNodes < StoreReadersPerZone || now - *m_readersMissingSince >= delay;
 }
 
-std::optional<Endpoint> PeerTable::findPeerWithNewerRows(RowVersion plan, RowVersion servers, TimePoint now) const
+std::vector<SnapshotSource> PeerTable::findPeersWithNewerRows(RowVersion FrontHeartbeat::*version, RowVersion known, TimePoint now) const
 {
-    const PeerEntry *best = nullptr;
+    std::vector<SnapshotSource> sources;
     for (const auto &[address, peer] : m_peers) {
-        const bool newer = peer.heartbeat.planVersion > plan || peer.heartbeat.serversVersion > servers;
-        if (!hasRecentHeartbeat(peer, m_timeouts.listTimeout, now) || !newer) {
-            continue;
-        }
-        if (best == nullptr || peer.heartbeat.serversVersion > best->heartbeat.serversVersion) {
-            best = &peer;
+        if (peer.heartbeat.*version > known && hasRecentHeartbeat(peer, m_timeouts.listTimeout, now)) {
+            sources.push_back({address, isInOwnZone(peer)});
         }
     }
-    return best == nullptr ? std::nullopt : std::optional<Endpoint>(best->address);
+    return sources;
 }
 
 } // namespace apricotarch
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -1,6 +1,7 @@
 #include "apricotarch/protocol/front_codec.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "apricotarch/protocol/sighting_codec.h"
 #include "apricotarch/protocol/thrift_bytes.h"
@@ -13,6 +14,9 @@
 namespace
 {
 
+/// Version in a FleetSnapshotRequest of a table that is not requested.
+constexpr RowVersion NotRequested(std::numeric_limits<std::int64_t>::max());
+
 wire::ServerLoad toWire(const ServerLoad &entry)
 {
     wire::ServerLoad load;
@@ -314,8 +318,9 @@
 {
     wire::FleetSnapshotRequest message;
     message.sender = request.sender.value();
-    message.planVersion = request.planVersion.value();
-    message.serversVersion = request.serversVersion.value();
+    message.planVersion = request.planVersion.value_or(NotRequested).value();
+    message.serversVersion = request.serversVersion.value_or(NotRequested).value();
+    message.__set_acceptsCompressedPlan(request.acceptsCompressedPlan);
     return toThriftBytes(message);
 }
 
@@ -325,7 +330,11 @@
     if (!message) {
         return Failure(message.error());
     }
-    return FleetSnapshotRequest{NodeId(message->sender), RowVersion(message->planVersion), RowVersion(message->serversVersion)};
+    const auto requested = [](std::int64_t version) {
+        return RowVersion(version) == NotRequested ? std::nullopt : std::optional(RowVersion(version));
+    };
+    return FleetSnapshotRequest{
+        NodeId(message->sender), requested(message->planVersion), requested(message->serversVersion), message->acceptsCompressedPlan};
 }
 
 std::string encodeFleetSnapshot(const FleetSnapshot &snapshot)
@@ -336,6 +345,12 @@
     message.serversVersion = snapshot.serversVersion.value();
     writeRows(message.servers, snapshot.servers);
     writeRows(message.nodes, snapshot.nodes);
+    if (!snapshot.compressedPlan.empty()) {
+        message.__set_compressedPlan(snapshot.compressedPlan);
+    }
+    if (snapshot.busy) {
+        message.__set_busy(true);
+    }
     return toThriftBytes(message);
 }
 
@@ -351,6 +366,8 @@
     snapshot.serversVersion = RowVersion(message->serversVersion);
     readRows(snapshot.servers, message->servers);
     readRows(snapshot.nodes, message->nodes);
+    snapshot.compressedPlan = std::move(message->compressedPlan);
+    snapshot.busy = message->busy;
     return snapshot;
 }
 
--- a/src/transport/authenticated_link.cpp
+++ b/src/transport/authenticated_link.cpp
@@ -28,9 +28,19 @@
 constexpr std::size_t MaxDatagramBytes = 64 * 1024;
 constexpr std::uint32_t MaxFrameBytes = 16 * 1024 * 1024;
 constexpr std::chrono::seconds FrameTimeout{1};
+
+/// A frame may take longer than FrameTimeout by its size divided by this rate, which several transfers over a link of 10 Mbit/s reach.
+constexpr std::size_t MinBytesPerMillisecond = 128;
+
 constexpr auto UseAwaitable = asio::use_awaitable;
 using FrameLength = std::array<std::uint8_t, sizeof(std::uint32_t)>;
 
+/// Returns the time allowed for the transfer of @p size bytes.
+std::chrono::milliseconds transferTimeout(std::size_t size)
+{
+    return FrameTimeout + std::chrono::milliseconds(size / MinBytesPerMillisecond);
+}
+
 Failure failureForError(const beast::error_code &code, const char *step, const std::string &peer)
 {
     const ErrorId id = code == beast::error::timeout ? ErrorId::TimedOut : ErrorId::ConnectionLost;
@@ -42,7 +52,7 @@
     FrameLength length{};
     boost::endian::store_big_u32(length.data(), static_cast<std::uint32_t>(bytes.size()));
     const std::array<asio::const_buffer, 2> buffers = {asio::buffer(length), asio::buffer(bytes)};
-    stream.expires_after(FrameTimeout);
+    stream.expires_after(transferTimeout(bytes.size()));
     beast::error_code code;
     co_await asio::async_write(stream, buffers, asio::redirect_error(UseAwaitable, code));
     if (code) {
@@ -66,6 +76,7 @@
             ErrorId::MessageTooLarge, "peer.read_frame", peer, "a frame exceeds the limit of " + std::to_string(MaxFrameBytes) + " bytes");
     }
     std::string bytes(size, '\0');
+    stream.expires_after(transferTimeout(size));
     co_await asio::async_read(stream, asio::buffer(bytes), asio::redirect_error(UseAwaitable, code));
     if (code) {
         co_return failureForError(code, "peer.read_frame", peer);
@@ -190,12 +201,18 @@
         metrics.increment(CounterFamily::Peers, "request_not_sealed");
         co_return;
     }
-    const std::optional<std::string> reply = onRequest(*bytes, peer);
+    const std::optional<FrameReply> reply = onRequest(*bytes, peer);
     if (!reply) {
         metrics.increment(CounterFamily::Peers, "request_malformed");
         co_return;
     }
-    (void)co_await writeFrame(stream, authenticator.authenticate(*reply), peer);
+    const Result<void> written = co_await writeFrame(stream, authenticator.authenticate(reply->bytes), peer);
+    if (written && reply->transfer) {
+        // The kernel has the bytes, but the peer may not. The peer closes the connection when it has read them.
+        char byte = 0;
+        stream.expires_after(transferTimeout(reply->bytes.size()));
+        co_await stream.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(UseAwaitable, code));
+    }
 }
 
 asio::awaitable<Result<std::string>> AuthenticatedLink::Impl::sendRequest(Endpoint peer, std::string request)
--- a/src/transport/peer_transport.cpp
+++ b/src/transport/peer_transport.cpp
@@ -24,12 +24,12 @@
         handle(std::move(*heartbeat));
     };
     const auto handleRequest = [handle = std::move(onRequest)](
-                                   const std::string &bytes, const std::string &peer) -> std::optional<std::string> {
+                                   const std::string &bytes, const std::string &peer) -> std::optional<FrameReply> {
         const Result<PeerRequest> request = decodePeerRequest(bytes, peer);
         if (!request) {
             return std::nullopt;
         }
-        return encodePeerReply(handle(*request));
+        return FrameReply{encodePeerReply(handle(*request)), nullptr};
     };
     return m_link.listen(endpoint, handleDatagram, handleRequest);
 }
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -2,9 +2,18 @@
 #include <functional>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "apricotarch/app/fleet_synchronizer.h"
+#include "apricotarch/protocol/front_codec.h"
 #include "fakes/manual_clock.h"
 #include "platform/protocol_adapter.h"
 
@@ -177,6 +186,69 @@
     return {key, text, RowVersion(version), false};
 }
 
+/// A peer at 127.0.0.9 that has newer rows and answers requests for servers, but does not finish the transfer of its configuration.
+class PeerWithSlowLink
+{
+public:
+    explicit PeerWithSlowLink(Simulation &simulation)
+        : m_endpoint{"127.0.0.9", simulation.peerPort}
+        , m_acceptor(simulation.eventLoops.coordinationLoop(), {asio::ip::make_address(m_endpoint.host), m_endpoint.port})
+        , m_sender(simulation.eventLoops.coordinationLoop(), asio::ip::udp::v4())
+    {
+        asio::co_spawn(m_acceptor.get_executor(), serve(), asio::detached);
+    }
+
+    void sendHeartbeat(const Endpoint &receiver, RowVersion plan, RowVersion servers)
+    {
+        FrontHeartbeat heartbeat;
+        heartbeat.node = NodeId("slow");
+        heartbeat.incarnation = Incarnation(1);
+        heartbeat.sequence = ++m_sequence;
+        heartbeat.callerAddress = {m_endpoint.host, 17'460};
+        heartbeat.peerAddress = m_endpoint;
+        heartbeat.planVersion = plan;
+        heartbeat.serversVersion = servers;
+        const std::string bytes = m_authenticator.authenticate(encodeFrontDatagram(heartbeat));
+        m_sender.send_to(asio::buffer(bytes), {asio::ip::make_address(receiver.host), receiver.port});
+    }
+
+    std::vector<StoredRow> servers; ///< Rows of the servers' table.
+    int configurationsRequested = 0;
+
+private:
+    asio::awaitable<void> serve()
+    {
+        while (true) {
+            asio::ip::tcp::socket connection = co_await m_acceptor.async_accept(asio::use_awaitable);
+            std::uint32_t length = 0;
+            co_await asio::async_read(connection, asio::buffer(&length, sizeof(length)), asio::use_awaitable);
+            std::string frame(boost::endian::big_to_native(length), '\0');
+            co_await asio::async_read(connection, asio::buffer(frame), asio::use_awaitable);
+            const Result<std::string> bytes = m_authenticator.verify(frame, "peer");
+            const Result<FleetSnapshotRequest> request = decodeFleetSnapshotRequest(*bytes, "peer");
+            if (request->planVersion) {
+                ++configurationsRequested;
+                m_unfinished.push_back(std::move(connection));
+                continue;
+            }
+            FleetSnapshot snapshot;
+            snapshot.servers = servers;
+            snapshot.serversVersion = servers.back().version;
+            const std::string reply = m_authenticator.authenticate(encodeFleetSnapshot(snapshot));
+            length = boost::endian::native_to_big(static_cast<std::uint32_t>(reply.size()));
+            co_await asio::async_write(connection, asio::buffer(&length, sizeof(length)), asio::use_awaitable);
+            co_await asio::async_write(connection, asio::buffer(reply), asio::use_awaitable);
+        }
+    }
+
+    Endpoint m_endpoint;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::udp::socket m_sender;
+    MessageAuthenticator m_authenticator{"a key of sixteen and more"};
+    std::int64_t m_sequence = 0;
+    std::vector<asio::ip::tcp::socket> m_unfinished;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(fleet_synchronizer)
@@ -344,6 +416,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(a_server_that_leaves_is_learned_of_while_the_configuration_is_still_being_transferred)
+{
+    // Servers' rows travelled behind a large configuration in one message; requests reached servers 3.3 s after they had announced their
+    // shutdown.
+    Simulation simulation;
+    PeerWithSlowLink peer(simulation);
+    Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    node.tables.rows[PlanTable] = {row("config", "3", 5)};
+    node.tables.rows[ServersTable] = {row("i-1", "r", 6)};
+    node.tables.version = RowVersion(6);
+    simulation.advance(1s);
+    node.tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
+    peer.servers = {row("i-1", "d", 9)};
+    for (int second = 0; second < 3; ++second) {
+        peer.sendHeartbeat(node.state.settings.peerAddress, RowVersion(8), RowVersion(9));
+        simulation.advance(500ms);
+    }
+    BOOST_TEST(peer.configurationsRequested > 0);
+    BOOST_TEST(node.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now()).empty());
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_row_removes_only_its_own_server)
 {
     Simulation simulation;
--- a/tests/src/unit-front_policy.cpp
+++ b/tests/src/unit-front_policy.cpp
@@ -205,10 +205,14 @@
     FrontHeartbeat heartbeat = heartbeatOf("a", 1000);
     heartbeat.planVersion = RowVersion(5);
     (void)peers.recordHeartbeat(heartbeat, Start);
-    BOOST_TEST(!peers.findPeerWithNewerRows(RowVersion(5), RowVersion(0), Start).has_value());
-    BOOST_REQUIRE(peers.findPeerWithNewerRows(RowVersion(4), RowVersion(0), Start).has_value());
-    BOOST_TEST(peers.findPeerWithNewerRows(RowVersion(4), RowVersion(0), Start)->port == 1001);
-    BOOST_TEST(!peers.findPeerWithNewerRows(RowVersion(4), RowVersion(0), Start + 10s).has_value());
+    const auto find = [&peers](std::int64_t known, TimePoint now) {
+        return peers.findPeersWithNewerRows(&FrontHeartbeat::planVersion, RowVersion(known), now);
+    };
+    BOOST_TEST(find(5, Start).empty());
+    BOOST_REQUIRE(find(4, Start).size() == 1U);
+    BOOST_TEST(find(4, Start).front().address.port == 1001);
+    BOOST_TEST(find(4, Start + 10s).empty());
+    BOOST_TEST(peers.findPeersWithNewerRows(&FrontHeartbeat::serversVersion, RowVersion(0), Start).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
