Do not replace a server's row by an older one

What callers would see: requests at a server that has announced its shutdown, until its entry is removed (DRAIN), or no use of a server that is new.

Cause: the answer to a full read of the servers' table was applied whatever had been learned since it was made. If a peer had sent newer rows meanwhile, these were replaced and never read again, because reading continued after the peer's version. A slow store and a dropped history make the window; a node that starts has it too, since it reads the store and its peers at the same time. Class: a late answer that is taken for the present state.

Change: rows are compared by version; a full table marks only those servers as removed that it does not contain and whose rows are not newer than the table.

The test a_server_that_leaves_is_not_used_again_after_a_late_answer_of_the_store failed before (i-1 is used again).

--- a/include/apricotarch/app/fleet_tables.h
+++ b/include/apricotarch/app/fleet_tables.h
@@ -43,7 +43,7 @@
     void applyPlanRows(const std::vector<StoredRow> &rows);
 
     /**
-     * Applies rows of the servers' table.
+     * Applies rows of the servers' table that are newer than those already known.
      * @param rows changed rows, or all rows
      * @param version version of the table as of the rows
      * @param isFullTable whether @p rows are all rows; other servers are then removed
@@ -84,7 +84,10 @@
     /// @return whether the configuration has been adopted
     bool applyPlan(const std::string &text, RowVersion version, const char *source);
     void resizeCaches();
-    void markAllRemoved(RowVersion version);
+    /// Marks those servers as removed that a full table of this version does not contain.
+    void markMissingRemoved(const std::vector<StoredRow> &rows, RowVersion version);
+    /// Replaces the servers of the state by those of m_serverRows.
+    void replaceServers(RowVersion version);
     /// Decodes a row and removes its server if the row was removed or cannot be decoded. @return the server if it is to be used
     [[nodiscard]] std::optional<BackendRecord> decodeOrRemove(const StoredRow &row);
     void updateServer(const BackendRecord &record, RowVersion version);
--- a/src/app/fleet_tables.cpp
+++ b/src/app/fleet_tables.cpp
@@ -1,6 +1,7 @@
 #include "apricotarch/app/fleet_tables.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "apricotarch/base/compression.h"
@@ -82,25 +83,24 @@
 void FleetTables::applyServerRows(const std::vector<StoredRow> &rows, RowVersion version, bool isFullTable)
 {
     if (isFullTable) {
-        markAllRemoved(version); // Rows that are still present are restored below.
+        markMissingRemoved(rows, version);
     }
-    std::vector<BackendRecord> records;
     for (const StoredRow &row : rows) {
+        StoredRow &known = m_serverRows[row.key];
+        if (row.version <= known.version && !known.key.empty()) {
+            continue; // A peer has sent a newer row while the answer with this one was under way.
+        }
         // Unreadable rows are kept too, so that peers do not get an older row of the server.
-        m_serverRows[row.key] = row;
-        std::optional<BackendRecord> record = decodeOrRemove(row);
-        if (!record) {
+        known = row;
+        if (isFullTable) {
             continue;
         }
-        if (isFullTable) {
-            records.push_back(std::move(*record));
-        } else {
+        if (const std::optional<BackendRecord> record = decodeOrRemove(row)) {
             updateServer(*record, row.version);
         }
     }
     if (isFullTable) {
-        m_state.backends.replaceAll(records, m_state.clock.now());
-        LogEvent("servers.read").field("servers", records.size()).field("row_version", version);
+        replaceServers(version);
     }
     m_state.serversLoaded = true;
     // Nodes compare row versions, since the store's own version also grows without a change of this table.
@@ -110,15 +110,34 @@
     m_state.notifyUrgentChange();
 }
 
-void FleetTables::markAllRemoved(RowVersion version)
+void FleetTables::markMissingRemoved(const std::vector<StoredRow> &rows, RowVersion version)
 {
+    std::set<std::string> present;
+    for (const StoredRow &row : rows) {
+        present.insert(row.key);
+    }
     for (auto &[key, row] : m_serverRows) {
-        if (!row.removed) {
+        if (!row.removed && row.version <= version && !present.contains(key)) {
             row = {key, "", version, true};
         }
     }
 }
 
+void FleetTables::replaceServers(RowVersion version)
+{
+    std::vector<BackendRecord> records;
+    for (const auto &[key, row] : m_serverRows) {
+        if (row.removed) {
+            continue;
+        }
+        if (std::optional<BackendRecord> record = decodeOrRemove(row)) {
+            records.push_back(std::move(*record));
+        }
+    }
+    m_state.backends.replaceAll(records, m_state.clock.now());
+    LogEvent("servers.read").field("servers", records.size()).field("row_version", version);
+}
+
 std::optional<BackendRecord> FleetTables::decodeOrRemove(const StoredRow &row)
 {
     if (row.removed) {
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -49,7 +50,9 @@
         if (failing.contains(table)) {
             co_return fail(failing[table], "store.read_table", "store", "failure injected by the test");
         }
-        co_return RowBatch{rows[table], version};
+        RowBatch batch{rows[table], version};
+        co_await m_clock.sleep(answerDelay);
+        co_return batch;
     }
 
     asio::awaitable<Result<RowBatch>> readChanges(std::string table, RowVersion after, Duration wait) override
@@ -87,6 +90,7 @@
 
     std::map<std::string, std::vector<StoredRow>> rows;
     std::map<std::string, ErrorId> failing; ///< Errors to return, by table.
+    Duration answerDelay{0}; ///< Time that the answer to a full read takes; its rows are those at the time of the call.
     std::map<std::string, int> fullReads;
     std::map<std::string, Duration> waits; ///< Wait time of the last call for changes, by table.
     RowVersion version{1};
@@ -437,6 +441,40 @@
     BOOST_TEST(node.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now()).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_server_that_leaves_is_not_used_again_after_a_late_answer_of_the_store)
+{
+    // After the history was dropped, the answer to a full read arrived after newer rows of a peer, replaced them, and they were not read
+    // again.
+    Simulation simulation;
+    PeerWithSlowLink peer(simulation);
+    Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    node.tables.rows[ServersTable] = {row("i-1", "r", 6), row("i-2", "r", 7)};
+    node.tables.version = RowVersion(7);
+    simulation.advance(1s);
+    node.tables.failing[ServersTable] = ErrorId::HistoryDropped;
+    simulation.advance(300ms);
+    node.tables.failing.clear();
+    node.tables.answerDelay = 3s;
+    simulation.advance(300ms);
+    peer.servers = {row("i-1", "d", 9), row("i-3", "r", 10)};
+    for (int heartbeat = 0; heartbeat < 3; ++heartbeat) {
+        peer.sendHeartbeat(node.state.settings.peerAddress, RowVersion(0), RowVersion(10));
+        simulation.advance(500ms);
+    }
+    const auto usable = [&] {
+        std::set<std::string> ids;
+        for (const BackendPointer &server : node.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now())) {
+            ids.insert(server->record.id.value());
+        }
+        return ids;
+    };
+    BOOST_TEST((usable() == std::set<std::string>{"i-2", "i-3"}));
+    for (int second = 0; second < 4; ++second) {
+        simulation.advance(1s);
+    }
+    BOOST_TEST((usable() == std::set<std::string>{"i-2", "i-3"}));
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_row_removes_only_its_own_server)
 {
     Simulation simulation;
