Give large bodies from the store the time that a slow link needs

What callers would see: a configuration that comes into force late at nodes with small links, and traffic to the store that serves nobody.

Cause: one time limit covered a whole answer, 0.7 s beyond a long poll. A node with a link of 10 Mbit/s reads a configuration of 4,251 routes (0.97 MB as the store encodes it) in 0.77 s; the read is given up while it arrives and made again.

Ruled out: longer times for all calls; a silent store would be noticed later.

Change: once the head has arrived, a body of a known length gets 1 s and 1 ms for each 64 bytes, at most 10 s. A short body that arrives byte by byte is given up as before (test).

The test may_take_longer_for_a_large_body_that_keeps_arriving failed before.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,6 @@
 #include "apricotarch/transport/http_client.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -28,6 +29,17 @@
 constexpr std::size_t MaxBodyBytes = 64 * 1024 * 1024;
 constexpr std::size_t MaxIdleConnectionsPerPeer = 64;
 
+/// Time allowed for a short body once its head has arrived, the rate at which longer bodies of a known length have to arrive, and the
+/// longest time for any body.
+constexpr std::chrono::milliseconds ShortBodyTimeout{1000};
+constexpr std::uint64_t MinBodyBytesPerMillisecond = 64;
+constexpr std::chrono::milliseconds LongestBodyTimeout{10'000};
+
+std::chrono::milliseconds bodyTimeout(std::uint64_t length)
+{
+    return std::min(LongestBodyTimeout, ShortBodyTimeout + std::chrono::milliseconds(length / MinBodyBytesPerMillisecond));
+}
+
 Failure failureForError(const beast::error_code &code, const char *step, const Endpoint &peer)
 {
     const bool timedOut = code == beast::error::timeout;
@@ -128,7 +140,13 @@
     parser.body_limit(MaxBodyBytes);
     parser.skip(isHeadRequest);
     beast::error_code code;
-    co_await http::async_read(impl.stream, impl.buffer, parser, asio::redirect_error(UseAwaitable, code));
+    co_await http::async_read_header(impl.stream, impl.buffer, parser, asio::redirect_error(UseAwaitable, code));
+    if (const auto length = parser.content_length(); !code && length) {
+        impl.stream.expires_after(bodyTimeout(*length));
+    }
+    if (!code) {
+        co_await http::async_read(impl.stream, impl.buffer, parser, asio::redirect_error(UseAwaitable, code));
+    }
     if (code) {
         co_return failureForError(code, "http.read", impl.endpoint);
     }
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -140,6 +140,53 @@
     co_return co_await client.exchange(endpoint, request, 2s);
 }
 
+/// A server that answers one request with a body of a given length, in pieces with pauses between them.
+class SlowServer
+{
+public:
+    SlowServer(std::size_t bodyBytes, std::size_t pieceBytes, std::chrono::milliseconds pause)
+        : m_acceptor(m_loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , endpoint{"127.0.0.1", m_acceptor.local_endpoint().port()}
+        , m_thread([this, bodyBytes, pieceBytes, pause] {
+            tcp::socket connection = m_acceptor.accept();
+            std::string request(4096, ' ');
+            (void)connection.read_some(boost::asio::buffer(request));
+            boost::system::error_code code;
+            const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+            boost::asio::write(connection, boost::asio::buffer(head), code);
+            for (std::size_t sent = 0; sent < bodyBytes && !code; sent += pieceBytes) {
+                std::this_thread::sleep_for(pause);
+                boost::asio::write(connection, boost::asio::buffer(std::string(pieceBytes, 'x')), code);
+            }
+        })
+    {
+    }
+    SlowServer(const SlowServer &) = delete;
+    SlowServer &operator=(const SlowServer &) = delete;
+    ~SlowServer()
+    {
+        m_thread.join();
+    }
+
+private:
+    boost::asio::io_context m_loop;
+    tcp::acceptor m_acceptor;
+
+public:
+    const Endpoint endpoint;
+
+private:
+    std::thread m_thread;
+};
+
+asio::awaitable<Result<HttpResponse>> exchangeWithin(Endpoint endpoint, Duration timeout)
+{
+    HttpClient client;
+    HttpRequest request;
+    request.path = "/";
+    co_return co_await client.exchange(endpoint, request, timeout);
+}
+
 asio::awaitable<Result<CallResult>> callOnce(Endpoint endpoint, std::string path)
 {
     HttpApplicationClient caller{BackendTimeouts()};
@@ -174,6 +221,22 @@
     BOOST_TEST((text.error().id == ErrorId::ConnectionLost));
 }
 
+BOOST_AUTO_TEST_CASE(may_take_longer_for_a_large_body_that_keeps_arriving)
+{
+    // A node with a link of 10 Mbit/s could not read a configuration of 1 MB from the store: each read was given up while it arrived.
+    const SlowServer server(512 * 1024, 64 * 1024, 60ms);
+    const auto response = TestServer::run(exchangeWithin(server.endpoint, 200ms));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->body.size() == 512U * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(fails_if_its_small_body_arrives_byte_by_byte)
+{
+    const SlowServer server(100, 1, 100ms);
+    const auto response = TestServer::run(exchangeWithin(server.endpoint, 200ms));
+    BOOST_TEST((response.error().id == ErrorId::TimedOut));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(delivery_of_a_failed_request)
