--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -48,6 +48,7 @@
     {
         AttemptResult result = AttemptResult::NotSent;
         bool finished = false; ///< The request has ended: the caller has disconnected or the deadline has passed.
+        bool answerStarted = false; ///< Events of a stream were received in this attempt.
         BackendAnswer answer;
         std::string body;
         Error error;
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -34,6 +34,9 @@
     std::int64_t tokens = 0; ///< Length in tokens.
 };
 
+/// Formats the ids of a prompt's parts but the last one, which belongs to one request or session: hexadecimal, separated by commas.
+[[nodiscard]] std::string sharedPartsText(const std::vector<PromptPart> &prompt);
+
 /// Stage of a model engine.
 enum class EngineStage : std::uint8_t {
     Any, ///< Not a model engine, or an engine that does not report its stage.
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -312,6 +312,9 @@
         LogEvent event("request.attempt_failed");
         event.field("request", m_request.id).field("server", m_lastServer).field("end", attemptResultName(attempt.result));
         event.field("status", attempt.answer.status).field("sends", m_attemptsSent).field("next", nextStepName(next));
+        if (m_request.prompt && attempt.result == AttemptResult::Broken) {
+            event.field("parts", sharedPartsText(m_request.prompt->parts)).field("answer_started", attempt.answerStarted);
+        }
         if (!attempt.error.step.empty()) {
             event.error(attempt.error);
         }
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -82,6 +82,7 @@
     std::optional<BackendAnswer> answer;
     bool prefillOnly = false;
     bool relaysEvents = false;
+    std::optional<TimePoint> firstEventAt; ///< When the first event of this attempt was received.
     TimePoint startedAt;
     TimePoint retryAt; ///< When another server may be tried; TimePoint::max() for never.
     TimePoint lastReceivedAt; ///< When the last bytes were received.
@@ -242,6 +243,7 @@
     recordReceipt(activeAttempt);
     activeAttempt.removePromptTokens();
     const TimePoint now = m_state.clock.now();
+    activeAttempt.firstEventAt = activeAttempt.firstEventAt.value_or(now);
     if (m_firstEventAt) {
         m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
     }
@@ -317,6 +319,7 @@
     }
     m_mayHaveExecuted = true;
     attempt.result = AttemptResult::Broken;
+    attempt.answerStarted = activeAttempt.firstEventAt.has_value();
     if (!activeAttempt.prefillOnly && attempt.error.id == ErrorId::ConnectionLost && now - activeAttempt.startedAt > ShortestTimeToCrash) {
         m_state.crashTracker.recordCrash(activeAttempt.backend->record.id, m_contentHash, now);
     }
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <sstream>
 
 namespace apricotarch
 {
@@ -15,6 +16,16 @@
 
 } // namespace
 
+std::string sharedPartsText(const std::vector<PromptPart> &prompt)
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
+        text << (index > 0 ? "," : "") << prompt[index].id;
+    }
+    return text.str();
+}
+
 void PrefixCacheModel::resize(std::int64_t capacity)
 {
     m_capacity = capacity;
