Quarantine parts of prompts that crash engines

What callers saw: engine after engine ended, their streams were cut or came late, and up to 18% of the requests were refused; the requests that caused it kept coming.

Cause: the tracker keyed its records by the hash of a whole request, but the cause is one part that many different requests share, so no record reached its second crash. Class: a record whose key is more specific than the cause.

Ruled out: counting all parts of all requests at an engine that ends; the part before the deadly one is at nearly every such engine and would be refused with it.

Change: evidence for each part, shared by all nodes in heartbeats: engine processes that ended before they had begun an answer, and answers, which clear a part. Three crashes quarantine a part, four if another one is as likely, five if prompts with it were answered in the half minute before; crashes that a quarantined part explains do not count for others.

Why this works: the deadly part is never answered, all others are, at one node or another.

The test is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not failed before (four checks).

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -110,6 +110,18 @@
 }
 
 /// Heartbeat of a front node. It is sent in one UDP datagram.
+/// What the sender knows of a part of prompts that may crash engines. Times are ages in milliseconds.
+struct PartEvidence {
+  1: required i64 part
+  /// Highest index of the part in a prompt.
+  2: required i32 position
+  /// Engine processes that ended before they had begun an answer to a prompt with this part, and when.
+  3: required list<i32> crashes
+  4: required list<i32> crashAges
+  /// When a prompt with this part was last answered; missing if that is not known.
+  5: optional i32 answerAge
+}
+
 struct FrontBeat {
   1: required string node
   2: required i64 incarnation
@@ -146,6 +158,7 @@
   22: required i32 coordinatorAgeMs
   /// Recent signs of life of other nodes of the sender's zone: 5 bytes each, see sighting_codec.h.
   23: required binary sightings
+  24: optional list<PartEvidence> partEvidence
 }
 
 /// Update of the sender's load at one engine, sent immediately when the load changes considerably. It is sent in one UDP datagram.
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -15,6 +15,7 @@
 #include "apricotarch/app/front_settings.h"
 #include "apricotarch/coordination/crash_tracker.h"
 #include "apricotarch/coordination/engine_groups.h"
+#include "apricotarch/coordination/prompt_part_quarantine.h"
 #include "apricotarch/state/metrics.h"
 #include "apricotarch/state/rate_meter.h"
 #include "apricotarch/state/routing_plan.h"
@@ -85,6 +86,7 @@
     PeerTable peers;
     SharedRetryBudget retryBudget;
     CrashTracker crashTracker;
+    PromptPartQuarantine partQuarantine;
     PlacementPlanner placementPlanner;
     BackendConnectionPool backendPool;
     /// Called when this node's load on a server changes, see notifyLoadChanged().
--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -60,6 +60,8 @@
 
     /// Refuses a request that cannot be served. @return whether it has been refused
     [[nodiscard]] bool refuseEarly();
+    /// Ends a request with a quarantined part, if it has one. @return whether it has been ended
+    [[nodiscard]] bool endIfQuarantined();
     /// Selects the servers for the next attempt. With partial views, prompts first get the loads of the groups that are compared.
     [[nodiscard]] asio::awaitable<Placement> selectPlacement();
     /// Selects the servers from one of m_groups, or from all if it is empty.
@@ -101,6 +103,10 @@
     void relayEvents(ActiveAttempt &activeAttempt);
     /// Records that the server has made progress on the request.
     void recordReceipt(ActiveAttempt &activeAttempt);
+    /// Records that the request's prompt does not crash the engine.
+    void recordPromptAnswered(ActiveAttempt &activeAttempt);
+    /// Records that an engine's connection was lost during an attempt, which may be a crash that the request has caused.
+    void recordPossibleCrash(const ActiveAttempt &activeAttempt);
     /// Asks the prefill engine to free the KV memory.
     void releaseKv();
     /// Selects and performs the next step after an attempt. @return whether another server is to be tried
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -83,6 +83,25 @@
     std::chrono::milliseconds remaining{0}; ///< Time until the engine is expected to accept work again.
 };
 
+/// The end of one process of an engine.
+struct EngineCrash
+{
+    std::uint32_t process = 0; ///< Hash of the engine's id and start, see engineProcessHash().
+    std::chrono::milliseconds age{0}; ///< Time since it ended.
+};
+
+/// What a node knows of a part of prompts that may crash engines.
+struct PartEvidence
+{
+    std::uint64_t part = 0; ///< See PromptPart::id.
+    int position = 0; ///< Highest index of the part in a prompt.
+    std::vector<EngineCrash> crashes; ///< Processes that ended before they had begun an answer to a prompt with this part.
+    std::optional<std::chrono::milliseconds> answerAge; ///< Time since a prompt with this part was last answered, if known.
+};
+
+/// Returns the hash that identifies one process of an engine.
+[[nodiscard]] std::uint32_t engineProcessHash(const BackendRecord &engine);
+
 /// Heartbeat of a front node, identical for all receivers.
 struct FrontHeartbeat
 {
@@ -108,6 +127,7 @@
     std::size_t knownNodes = 1; ///< Number of nodes that the sender knows, itself included.
     NodeId coordinator; ///< Node that orders stage changes as far as the sender knows; empty if unknown.
     std::chrono::milliseconds coordinatorAge{0}; ///< Age of the coordinator's last sign of life.
+    std::vector<PartEvidence> partEvidence;
     std::vector<PeerSighting> sightings; ///< Other nodes of the sender's zone; empty while all nodes send heartbeats to each other.
 };
 
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -261,6 +261,7 @@
     heartbeat.coordinatorAge = coordinator.age;
     heartbeat.sightings = m_state.peers.sightings(now, m_state.random);
     heartbeat.crashRecords = m_state.peers.usesPartialView() ? m_state.crashTracker.records(now) : m_state.crashTracker.localRecords(now);
+    heartbeat.partEvidence = m_state.partQuarantine.nextReports(now);
     return heartbeat;
 }
 
@@ -396,7 +397,9 @@
         }
     }
     recordStageChanges(heartbeat.changingEngines);
-    if (!heartbeat.crashRecords.empty() && m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now)) {
+    const bool recordsChanged = !heartbeat.crashRecords.empty() && m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now);
+    const bool evidenceChanged = m_state.partQuarantine.merge(heartbeat.partEvidence, m_state.peers.usesPartialView(), now);
+    if (recordsChanged || evidenceChanged) {
         requestUrgentHeartbeat();
     }
     m_snapshots.catchUp();
@@ -444,6 +447,7 @@
     const TimePoint now = m_state.clock.now();
     m_state.backends.eraseRemoved(now);
     m_state.peers.removeSilent(now);
+    m_state.partQuarantine.removeExpired(now);
     m_state.backendPool.closeExpired(now, [this](const ReplicaId &id) {
         const BackendPointer backend = m_state.backends.find(id);
         return backend && backend->record.state == BackendState::Ready;
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -33,6 +33,9 @@
 /// The next group is compared if a prompt would wait longer than this in the groups before.
 constexpr double MaxGroupWaitMs = 150;
 
+/// When a caller may repeat a request that crashes servers; quarantines last for minutes.
+constexpr std::chrono::milliseconds QuarantineRetryDelay = 60s;
+
 /// Share of the remaining time after which an unanswered request of a safe route is sent to another server.
 constexpr double SafeAnswerTimeoutShare = 0.4;
 
@@ -95,7 +98,20 @@
         refuse(RefusalReason::Quarantined);
         return true;
     }
-    return false;
+    return endIfQuarantined();
+}
+
+bool RequestForwarder::endIfQuarantined()
+{
+    if (!m_request.prompt || !m_state.partQuarantine.findQuarantined(m_request.prompt->parts)) {
+        return false;
+    }
+    if (m_mayHaveExecuted) {
+        sendLocalResponse(502, refusalResponse(RefusalReason::Quarantined).reason, std::nullopt);
+    } else {
+        refuse(RefusalReason::Quarantined);
+    }
+    return true;
 }
 
 ServiceId RequestForwarder::chooseService() const
@@ -242,7 +258,7 @@
 
 asio::awaitable<void> RequestForwarder::sendUntilDone()
 {
-    while (!m_finished) {
+    while (!m_finished && !endIfQuarantined()) {
         const Placement placement = co_await selectPlacement();
         m_lastPlacement = placement;
         BackendPointer server = placement.server;
@@ -256,6 +272,9 @@
                 continue;
             }
         }
+        if (endIfQuarantined()) {
+            break; // The part was quarantined during the prefill.
+        }
         if (m_kvLocation) {
             // During the prefill, engines may have started to drain and loads may have changed.
             const TimePoint now = m_state.clock.now();
@@ -404,7 +423,10 @@
     const RefusalResponse &response = refusalResponse(reason);
     // Spreads the retries of refused callers over a second, which is about the time needed to process the backlog
     // of one burst.
-    const auto delay = std::chrono::milliseconds(std::uniform_int_distribution<int>(200, 1000)(m_state.random));
+    std::chrono::milliseconds delay(std::uniform_int_distribution<int>(200, 1000)(m_state.random));
+    if (reason == RefusalReason::Quarantined) {
+        delay = QuarantineRetryDelay;
+    }
     m_state.metrics.increment(CounterFamily::Refusals, response.reason);
     sendLocalResponse(response.status, response.reason, response.retry ? std::optional<Duration>(delay) : std::nullopt);
 }
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -26,6 +26,9 @@
 /// A connection that is lost within this time was closed before the server had read the request, so it is no sign of a crash.
 constexpr Duration ShortestTimeToCrash = 5ms;
 
+/// A stream that has gone on for this long after its first event does not crash its engine.
+constexpr Duration SafeAnswerTime = 300ms;
+
 /// A prefill is taken for lost if it is overdue by this factor of its prediction, and at least by the time MinPrefillTime, and the engine
 /// has answered this many prefills that were sent later.
 constexpr double OverduePrefillFactor = 2;
@@ -82,6 +85,8 @@
     std::optional<BackendAnswer> answer;
     bool prefillOnly = false;
     bool relaysEvents = false;
+    std::uint32_t engineProcess = 0; ///< Process of the engine when the attempt began, see engineProcessHash().
+    bool promptAnswered = false; ///< The answer has been recorded for the quarantine of parts.
     std::optional<TimePoint> firstEventAt; ///< When the first event of this attempt was received.
     TimePoint startedAt;
     TimePoint retryAt; ///< When another server may be tried; TimePoint::max() for never.
@@ -97,6 +102,7 @@
     activeAttempt.prefillOnly = options.prefillOnly;
     activeAttempt.startedAt = now;
     activeAttempt.lastReceivedAt = now;
+    activeAttempt.engineProcess = engineProcessHash(backend->record);
     activeAttempt.retryAt = answerTimeout >= LongestRequestTime ? TimePoint::max() : now + answerTimeout;
     m_lastServer = backend->record.id;
     m_triedServers.insert(backend->record.id);
@@ -244,6 +250,9 @@
     activeAttempt.removePromptTokens();
     const TimePoint now = m_state.clock.now();
     activeAttempt.firstEventAt = activeAttempt.firstEventAt.value_or(now);
+    if (now - *activeAttempt.firstEventAt >= SafeAnswerTime) {
+        recordPromptAnswered(activeAttempt);
+    }
     if (m_firstEventAt) {
         m_longestGap = std::max<Duration>(m_longestGap, now - m_lastEventAt);
     }
@@ -300,6 +309,8 @@
     activeAttempt.backend->recordSuccess();
     if (activeAttempt.prefillOnly) {
         activeAttempt.backend->answeredPrefills.record(activeAttempt.startedAt);
+    } else {
+        recordPromptAnswered(activeAttempt);
     }
     attempt.result = AttemptResult::Answered;
     return attempt;
@@ -321,11 +332,29 @@
     attempt.result = AttemptResult::Broken;
     attempt.answerStarted = activeAttempt.firstEventAt.has_value();
     if (!activeAttempt.prefillOnly && attempt.error.id == ErrorId::ConnectionLost && now - activeAttempt.startedAt > ShortestTimeToCrash) {
-        m_state.crashTracker.recordCrash(activeAttempt.backend->record.id, m_contentHash, now);
+        recordPossibleCrash(activeAttempt);
     }
     return attempt;
 }
 
+void RequestForwarder::recordPossibleCrash(const ActiveAttempt &activeAttempt)
+{
+    const TimePoint now = m_state.clock.now();
+    m_state.crashTracker.recordCrash(activeAttempt.backend->record.id, m_contentHash, now);
+    // An engine crashes when it begins the answer, so a prompt whose answer had begun is not the cause.
+    if (m_request.prompt && !activeAttempt.firstEventAt) {
+        m_state.partQuarantine.recordCrash(m_request.prompt->parts, activeAttempt.engineProcess, now);
+        m_state.notifyUrgentChange();
+    }
+}
+
+void RequestForwarder::recordPromptAnswered(ActiveAttempt &activeAttempt)
+{
+    if (m_request.prompt && !std::exchange(activeAttempt.promptAnswered, true)) {
+        m_state.partQuarantine.recordAnswer(m_request.prompt->parts, m_state.clock.now());
+    }
+}
+
 RequestForwarder::Attempt RequestForwarder::abandonAttempt(ActiveAttempt &activeAttempt)
 {
     Attempt attempt;
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -80,6 +80,41 @@
     }
 }
 
+void writePartEvidence(wire::FrontBeat &message, const FrontHeartbeat &heartbeat)
+{
+    for (const PartEvidence &entry : heartbeat.partEvidence) {
+        wire::PartEvidence evidence;
+        evidence.part = static_cast<std::int64_t>(entry.part);
+        evidence.position = entry.position;
+        for (const EngineCrash &crash : entry.crashes) {
+            evidence.crashes.push_back(static_cast<std::int32_t>(crash.process));
+            evidence.crashAges.push_back(static_cast<std::int32_t>(crash.age.count()));
+        }
+        if (entry.answerAge) {
+            evidence.__set_answerAge(static_cast<std::int32_t>(entry.answerAge->count()));
+        }
+        message.partEvidence.push_back(std::move(evidence));
+        message.__isset.partEvidence = true;
+    }
+}
+
+void readPartEvidence(FrontHeartbeat &heartbeat, const wire::FrontBeat &message)
+{
+    for (const wire::PartEvidence &entry : message.partEvidence) {
+        PartEvidence evidence;
+        evidence.part = static_cast<std::uint64_t>(entry.part);
+        evidence.position = entry.position;
+        for (std::size_t index = 0; index < std::min(entry.crashes.size(), entry.crashAges.size()); ++index) {
+            evidence.crashes.push_back(
+                {static_cast<std::uint32_t>(entry.crashes[index]), std::chrono::milliseconds(entry.crashAges[index])});
+        }
+        if (entry.__isset.answerAge) {
+            evidence.answerAge = std::chrono::milliseconds(entry.answerAge);
+        }
+        heartbeat.partEvidence.push_back(std::move(evidence));
+    }
+}
+
 void writeStageData(wire::FrontBeat &message, const FrontHeartbeat &heartbeat)
 {
     for (const auto &[service, rate] : heartbeat.prefillRates) {
@@ -126,6 +161,7 @@
         }
     }
     heartbeat.sightings = decodeSightings(message.sightings);
+    readPartEvidence(heartbeat, message);
     for (const wire::CrashRecord &entry : message.crashRecords) {
         heartbeat.crashRecords.push_back({ContentHash(entry.contentHash), entry.crashes, std::chrono::milliseconds(entry.remainingMs)});
     }
@@ -172,6 +208,7 @@
     writeLoads(message, heartbeat);
     writeSentPrompts(message, heartbeat);
     writeCrashRecords(message, heartbeat);
+    writePartEvidence(message, heartbeat);
     writeStageData(message, heartbeat);
     writeAnnouncedPeers(message, heartbeat);
     return message;
--- a/src/state/front_heartbeat.cpp
+++ b/src/state/front_heartbeat.cpp
@@ -29,4 +29,9 @@
     return static_cast<std::uint32_t>(contentHash(address.text()).value());
 }
 
+std::uint32_t engineProcessHash(const BackendRecord &engine)
+{
+    return static_cast<std::uint32_t>(contentHash(engine.id.value() + '/' + std::to_string(engine.startedAt)).value());
+}
+
 } // namespace apricotarch
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -29,6 +29,7 @@
     bool closes = false; ///< Whether the connection is reset after the bytes.
     std::string repeated = {}; ///< Sent again and again after `bytes` until the other side closes the connection.
     std::chrono::milliseconds pause{0}; ///< Pause before each repetition.
+    std::chrono::milliseconds delay{0}; ///< Pause before the answer.
 };
 
 /// Accepts connections and answers the requests of each in order. Runs on the test's event loop.
@@ -103,6 +104,14 @@
         targets.push_back(head.target);
         const auto reply = std::make_shared<ScriptedAnswer>(m_script(head, connection->parser->body()));
         connection->parser = std::make_unique<RequestParser>(ReadLimits());
+        const auto timer = std::make_shared<boost::asio::steady_timer>(connection->socket.get_executor(), reply->delay);
+        timer->async_wait([this, connection, reply, timer](const boost::system::error_code &) {
+            send(connection, reply);
+        });
+    }
+
+    void send(const std::shared_ptr<Connection> &connection, const std::shared_ptr<ScriptedAnswer> &reply)
+    {
         boost::asio::async_write(connection->socket,
             boost::asio::buffer(reply->bytes),
             [this, connection, reply](const boost::system::error_code &code, std::size_t) {
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -494,6 +494,47 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
+
+BOOST_AUTO_TEST_CASE(is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not)
+{
+    // Requests with one part crashed engine after engine, 17 to 22 in 22 seconds; no two of the requests were alike.
+    TestNode node;
+    int deadlySends = 0;
+    const auto crashOnDeadlyPart = [&deadlySends](const RequestHead &head, const std::string &) {
+        if (head.headers.value("X-Prompt-Prefix").find("dead:") == std::string_view::npos) {
+            return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+        }
+        ++deadlySends;
+        ScriptedAnswer crash;
+        crash.closes = true;
+        crash.delay = 20ms;
+        return crash;
+    };
+    for (const char *id : {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}) {
+        node.addEngine(id, EngineStage::Decode, crashOnDeadlyPart);
+    }
+    int requests = 0;
+    const auto prompt = [&requests](const std::string &secondPart) {
+        const std::string own = std::to_string(++requests);
+        return "POST /long/" + own + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: p" + own
+            + "\r\nX-Model: m\r\nX-Token-Counts: 1500,20\r\nX-Prompt-Prefix: f1:900," + secondPart + ":400,a" + own
+            + ":200\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n";
+    };
+    BOOST_TEST(node.sendRequest(prompt("b1"), "0\r\n\r\n").find(event(1)) != std::string::npos);
+    for (int request = 0; request < 2; ++request) {
+        BOOST_TEST(node.sendRequest(prompt("dead")).find("HTTP/1.1 502") == 0U);
+    }
+    BOOST_TEST(deadlySends == 3);
+    const std::string refused = node.sendRequest(prompt("dead"));
+    BOOST_TEST(refused.find("HTTP/1.1 503") == 0U);
+    BOOST_TEST(refused.find("Retry-After: 60") != std::string::npos);
+    BOOST_TEST(deadlySends == 3);
+    BOOST_TEST(node.sendRequest(prompt("b2"), "0\r\n\r\n").find(event(1)) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_long_prompt)
 
 BOOST_AUTO_TEST_CASE(is_prefilled_by_one_engine_and_decoded_by_another_from_its_kv_memory)
