Notice within a second that the store cannot be reached

Cause: nodes that read the store kept telling the others so until their long polls ended, up to 4.7 s after they were cut off. If all readers are cut off at once, nobody reads, and all nodes that are still connected know nothing of changes for that time. Class: a lack of news taken for no news.

Ruled out: shorter long polls (four times the calls, and no time for a slow store's answer); keep-alive probes (2 s at least, as long as the bound on small sites).

The test a_node_reads_the_store_within_two_seconds_after_all_nodes_that_read_it_were_partitioned_from_it fails without the check.

--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -58,6 +58,8 @@
     // ---- the store ----
 
     [[nodiscard]] asio::awaitable<void> followTable(Table table);
+    /// Checks now and then whether the store can be reached, so that other nodes replace this one as a reader of the store.
+    [[nodiscard]] asio::awaitable<void> checkStoreReachability();
     void updateStoreStatus(Table table, const Result<RowBatch> &result);
     [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
 
@@ -95,6 +97,7 @@
     EngineGroupLoads m_groupLoads;
     RowVersion m_planReadVersion; ///< Version up to which the configuration's table has been read; 0 requests a full read.
     RowVersion m_serversReadVersion; ///< Version up to which the servers' table has been read; 0 requests a full read.
+    bool m_storeReachable = true; ///< As of the last check.
     std::array<bool, 2> m_storeCallFailed{}; ///< By table: whether the last call to the store failed.
     bool m_urgentHeartbeatPending = false;
     bool m_usedPartialView = false; ///< As of the last heartbeat.
--- a/include/apricotarch/coordination/table_reader.h
+++ b/include/apricotarch/coordination/table_reader.h
@@ -45,6 +45,9 @@
      * @param wait how long the store may delay its answer; the batch is empty if there is no change within this time
      */
     [[nodiscard]] virtual asio::awaitable<Result<RowBatch>> readChanges(std::string table, RowVersion after, Duration wait) = 0;
+
+    /// Returns whether a connection to the store can be established. Makes no call.
+    [[nodiscard]] virtual asio::awaitable<bool> isReachable() = 0;
 };
 
 } // namespace apricotarch
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -30,6 +30,9 @@
 /// Interval at which a node that does not read the store checks whether it has to.
 constexpr Duration FollowerPollInterval = 300ms;
 
+/// Interval at which a node that reads the store checks whether it can still be reached. A long poll shows that only at its end.
+constexpr Duration ReachabilityCheckInterval = 600ms;
+
 /// First and longest pause after a failed call to the store.
 constexpr Duration FirstRetryPause = 150ms;
 constexpr Duration LongestRetryPause = 600ms;
@@ -102,6 +105,7 @@
     };
     asio::co_spawn(loop, followTable(Table::Plan), asio::detached);
     asio::co_spawn(loop, followTable(Table::Servers), asio::detached);
+    asio::co_spawn(loop, checkStoreReachability(), asio::detached);
     asio::co_spawn(loop, m_registration.run(), asio::detached);
     asio::co_spawn(loop, heartbeatLoop(), asio::detached);
     return {};
@@ -160,6 +164,20 @@
     co_return co_await m_tables.readChanges(name, version, recovering ? Duration::zero() : LongPollTime);
 }
 
+asio::awaitable<void> FleetSynchronizer::checkStoreReachability()
+{
+    while (true) {
+        co_await m_state.clock.sleep(ReachabilityCheckInterval);
+        const bool reachable = !m_state.peers.shouldReadStore(m_state.clock.now()) || co_await m_tables.isReachable();
+        if (reachable == std::exchange(m_storeReachable, reachable)) {
+            continue;
+        }
+        LogEvent(reachable ? "store.reachable" : "store.unreachable", reachable ? LogEvent::Level::Info : LogEvent::Level::Warning)
+            .field("plan", m_state.plan->version());
+        m_state.notifyUrgentChange();
+    }
+}
+
 void FleetSynchronizer::updateStoreStatus(Table table, const Result<RowBatch> &result)
 {
     const bool failed = !result && result.error().id != ErrorId::HistoryDropped;
@@ -245,7 +263,8 @@
     heartbeat.planVersion = m_fleetTables.planVersion();
     heartbeat.serversVersion = m_fleetTables.serversVersion();
     heartbeat.timerLag = m_loopLag;
-    heartbeat.readsStore = !m_storeCallFailed[0] && !m_storeCallFailed[1] && m_state.serversLoaded && m_state.peers.shouldReadStore(now);
+    heartbeat.readsStore =
+        m_storeReachable && !m_storeCallFailed[0] && !m_storeCallFailed[1] && m_state.serversLoaded && m_state.peers.shouldReadStore(now);
     addLoads(heartbeat);
     for (auto &[service, meter] : m_state.prefillRates) {
         heartbeat.prefillRates[service] = meter.perMillisecond(now);
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -59,6 +59,10 @@
     {
         waits[table] = wait;
         co_await m_clock.sleep(std::min<Duration>(std::max<Duration>(wait, 1ms), 200ms));
+        if (partitioned) {
+            co_await m_clock.sleep(wait + 700ms);
+            co_return fail(ErrorId::TimedOut, "store.read_changes", "store", "failure injected by the test");
+        }
         if (failing.contains(table)) {
             co_return fail(failing[table], "store.read_changes", "store", "failure injected by the test");
         }
@@ -72,6 +76,11 @@
         co_return batch;
     }
 
+    asio::awaitable<bool> isReachable() override
+    {
+        co_return !partitioned;
+    }
+
     asio::awaitable<Result<std::optional<Row>>> read(RowKey /*key*/) override
     {
         co_return std::optional<Row>();
@@ -90,6 +99,7 @@
 
     std::map<std::string, std::vector<StoredRow>> rows;
     std::map<std::string, ErrorId> failing; ///< Errors to return, by table.
+    bool partitioned = false; ///< Whether calls are not answered and no connection can be established.
     Duration answerDelay{0}; ///< Time that the answer to a full read takes; its rows are those at the time of the call.
     std::map<std::string, int> fullReads;
     std::map<std::string, Duration> waits; ///< Wait time of the last call for changes, by table.
@@ -455,6 +465,36 @@
     BOOST_TEST(node.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now()).empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_node_reads_the_store_within_two_seconds_after_all_nodes_that_read_it_were_partitioned_from_it)
+{
+    // Readers of the store learned that they were cut off when their long polls ended, after up to 4.7 s. Until then no node read it, and
+    // requests reached a server that had announced its shutdown.
+    Simulation simulation;
+    Node first(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    Node second(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
+    Node follower(simulation.eventLoops, simulation.clock, simulation.peerPort, "c", "127.0.0.3");
+    for (Node *node : {&first, &second, &follower}) {
+        node->tables.rows[PlanTable] = {row("config", "3", 5)};
+        node->tables.rows[ServersTable] = {row("i-1", "r", 6)};
+        node->tables.version = RowVersion(6);
+    }
+    for (int second = 0; second < 5; ++second) {
+        simulation.advance(1s);
+    }
+    BOOST_REQUIRE(!follower.state.peers.shouldReadStore(simulation.clock.now()));
+    first.tables.partitioned = true;
+    second.tables.partitioned = true;
+    for (int step = 0; step < 4; ++step) {
+        simulation.advance(100ms);
+    }
+    follower.tables.rows[ServersTable] = {row("i-1", "d", 8)};
+    follower.tables.version = RowVersion(8);
+    for (int step = 0; step < 16; ++step) {
+        simulation.advance(100ms);
+    }
+    BOOST_TEST(follower.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now()).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_whose_compressed_form_cannot_be_read_is_requested_as_it_is)
 {
     Simulation simulation;
--- a/tests/src/unit-snapshot_exchange.cpp
+++ b/tests/src/unit-snapshot_exchange.cpp
@@ -41,6 +41,10 @@
     {
         co_return RowBatch{};
     }
+    asio::awaitable<bool> isReachable() override
+    {
+        co_return true;
+    }
     asio::awaitable<Result<std::optional<Row>>> read(RowKey /*key*/) override
     {
         co_return std::optional<Row>();
