Name followed tables and results of merged evidence for what they are

No change of behaviour: Follower is now FollowedTable, since a follower is a node elsewhere; mergeReport returns what it found instead of setting an argument.

--- a/include/apricotarch/app/snapshot_exchange.h
+++ b/include/apricotarch/app/snapshot_exchange.h
@@ -42,10 +42,10 @@
     std::function<void()> onRowsAdopted; ///< Called after rows of a peer have been applied.
 
 private:
-    /// State of the requests for one table.
-    struct Follower
+    /// A table that is read from peers, with the state of the requests for it.
+    struct FollowedTable
     {
-        const char *table; ///< Name for logs.
+        const char *name; ///< Name for logs.
         RowVersion FrontHeartbeat::*reported; ///< Version that heartbeats report.
         RowVersion (FleetTables::*known)() const noexcept; ///< Version that this node has.
         std::optional<RowVersion> FleetSnapshotRequest::*requested; ///< Field of the request that asks for the table.
@@ -54,10 +54,10 @@
         std::map<Endpoint, TimePoint> avoidUntil; ///< Peers that have failed or were busy.
     };
 
-    void catchUp(Follower &follower);
-    [[nodiscard]] asio::awaitable<void> request(Follower &follower, Endpoint peer);
+    void catchUp(FollowedTable &table);
+    [[nodiscard]] asio::awaitable<void> request(FollowedTable &table, Endpoint peer);
     /// Applies a peer's answer. @return how long the peer is avoided
-    [[nodiscard]] Duration handleSnapshot(Follower &follower,
+    [[nodiscard]] Duration handleSnapshot(FollowedTable &table,
         const FleetSnapshotRequest &request,
         const Result<std::string> &response,
         const Endpoint &peer,
@@ -68,7 +68,7 @@
     FleetTables &m_tables;
     const NodeRegistration &m_registration;
     AuthenticatedLink &m_link;
-    std::array<Follower, 2> m_followers;
+    std::array<FollowedTable, 2> m_followedTables;
     bool m_acceptsCompressedPlan = true; ///< Whether the last compressed configuration could be read.
     boost::intrusive_ptr<TransferToken> m_transfers; ///< Shared by all replies that contain the configuration.
 };
--- a/include/apricotarch/coordination/prompt_part_quarantine.h
+++ b/include/apricotarch/coordination/prompt_part_quarantine.h
@@ -86,7 +86,14 @@
 
     /// Removes crashes that happened before an answer. @return whether there were any
     static bool clearUntil(Evidence &evidence, TimePoint answeredAt);
-    [[nodiscard]] bool mergeOne(const PartEvidence &report, TimePoint now, bool &refuted);
+    /// Effect of another node's evidence on a part.
+    struct MergeResult
+    {
+        bool changed = false; ///< The evidence of this node has changed.
+        bool refuted = false; ///< This node knows of an answer that the other one does not know.
+    };
+
+    [[nodiscard]] MergeResult mergeReport(const PartEvidence &report, TimePoint now);
     /// Determines the quarantined parts from the evidence.
     void evaluate();
     /// Returns the part that explains the most of the remaining crashes, if it explains enough for a quarantine.
--- a/src/app/snapshot_exchange.cpp
+++ b/src/app/snapshot_exchange.cpp
@@ -37,9 +37,14 @@
     , m_tables(tables)
     , m_registration(registration)
     , m_link(link)
-    , m_followers{Follower{
-                      "plan", &FrontHeartbeat::planVersion, &FleetTables::planVersion, &FleetSnapshotRequest::planVersion, {}, false, {}},
-          Follower{"servers",
+    , m_followedTables{FollowedTable{"plan",
+                           &FrontHeartbeat::planVersion,
+                           &FleetTables::planVersion,
+                           &FleetSnapshotRequest::planVersion,
+                           {},
+                           false,
+                           {}},
+          FollowedTable{"servers",
               &FrontHeartbeat::serversVersion,
               &FleetTables::serversVersion,
               &FleetSnapshotRequest::serversVersion,
@@ -54,69 +59,69 @@
 
 void SnapshotExchange::catchUp()
 {
-    for (Follower &follower : m_followers) {
-        catchUp(follower);
+    for (FollowedTable &table : m_followedTables) {
+        catchUp(table);
     }
 }
 
-void SnapshotExchange::catchUp(Follower &follower)
+void SnapshotExchange::catchUp(FollowedTable &table)
 {
     const TimePoint now = m_state.clock.now();
-    const std::vector<SnapshotSource> sources = m_state.peers.findPeersWithNewerRows(follower.reported, (m_tables.*follower.known)(), now);
+    const std::vector<SnapshotSource> sources = m_state.peers.findPeersWithNewerRows(table.reported, (m_tables.*table.known)(), now);
     if (sources.empty()) {
-        follower.behindSince.reset();
-        follower.avoidUntil.clear();
+        table.behindSince.reset();
+        table.avoidUntil.clear();
         return;
     }
-    if (!follower.behindSince) {
-        follower.behindSince = now;
+    if (!table.behindSince) {
+        table.behindSince = now;
     }
-    const bool due = now - *follower.behindSince >= CatchUpDelay || !m_state.peers.shouldReadStore(now);
-    if (follower.requesting || !due) {
+    const bool due = now - *table.behindSince >= CatchUpDelay || !m_state.peers.shouldReadStore(now);
+    if (table.requesting || !due) {
         return;
     }
-    const auto isAvoided = [&follower, now](const Endpoint &peer) {
-        const auto found = follower.avoidUntil.find(peer);
-        return found != follower.avoidUntil.end() && now < found->second;
+    const auto isAvoided = [&table, now](const Endpoint &peer) {
+        const auto found = table.avoidUntil.find(peer);
+        return found != table.avoidUntil.end() && now < found->second;
     };
     if (std::optional<Endpoint> peer = selectSnapshotSource(sources, isAvoided, m_state.random)) {
-        follower.requesting = true;
-        asio::co_spawn(m_state.executor, request(follower, std::move(*peer)), asio::detached);
+        table.requesting = true;
+        asio::co_spawn(m_state.executor, request(table, std::move(*peer)), asio::detached);
     }
 }
 
-asio::awaitable<void> SnapshotExchange::request(Follower &follower, Endpoint peer)
+asio::awaitable<void> SnapshotExchange::request(FollowedTable &table, Endpoint peer)
 {
     const TimePoint requestedAt = m_state.clock.now();
     FleetSnapshotRequest request;
     request.sender = m_state.settings.node;
-    request.*follower.requested = (m_tables.*follower.known)();
+    request.*table.requested = (m_tables.*table.known)();
     request.acceptsCompressedPlan = m_acceptsCompressedPlan;
     const Result<std::string> response = co_await m_link.sendRequest(peer, encodeFleetSnapshotRequest(request));
-    const Duration avoidance = handleSnapshot(follower, request, response, peer, requestedAt);
-    follower.avoidUntil[peer] = m_state.clock.now() + avoidance;
-    follower.requesting = false;
+    const Duration avoidance = handleSnapshot(table, request, response, peer, requestedAt);
+    table.avoidUntil[peer] = m_state.clock.now() + avoidance;
+    table.requesting = false;
 }
 
-Duration SnapshotExchange::handleSnapshot(Follower &follower,
+Duration SnapshotExchange::handleSnapshot(FollowedTable &table,
     const FleetSnapshotRequest &request,
     const Result<std::string> &response,
     const Endpoint &peer,
     TimePoint requestedAt)
 {
     const TimePoint now = m_state.clock.now();
-    const Duration behind = now - follower.behindSince.value_or(requestedAt);
+    const Duration behind = now - table.behindSince.value_or(requestedAt);
     const Result<FleetSnapshot> snapshot =
         response ? decodeFleetSnapshot(*response, peer.text()) : Result<FleetSnapshot>(Failure(response.error()));
     if (snapshot && snapshot->busy) {
         m_state.metrics.increment(CounterFamily::Peers, "snapshot_busy");
         return std::chrono::milliseconds(std::uniform_int_distribution<int>(MinBusyAvoidanceMs, MaxBusyAvoidanceMs)(m_state.random));
     }
-    const RowVersion before = (m_tables.*follower.known)();
+    const RowVersion before = (m_tables.*table.known)();
     const bool wasCompressed = snapshot && !snapshot->compressedPlan.empty();
     const Result<void> applied = snapshot ? m_tables.applySnapshot(*snapshot, request) : Result<void>(Failure(snapshot.error()));
     LogEvent event(applied ? "peer.snapshot" : "peer.no_snapshot", applied ? LogEvent::Level::Info : LogEvent::Level::Warning);
-    event.field("table", follower.table).field("peer", peer.text()).field("row_version", (m_tables.*follower.known)());
+    event.field("table", table.name).field("peer", peer.text()).field("row_version", (m_tables.*table.known)());
     event.field("before", before).field("bytes", response ? response->size() : 0);
     event.field("behind_ms", toMilliseconds(behind)).field("ms", toMilliseconds(now - requestedAt));
     m_state.metrics.increment(CounterFamily::Peers, applied ? "snapshot_received" : "snapshot_failed");
@@ -134,7 +139,7 @@
     if (onRowsAdopted) {
         onRowsAdopted();
     }
-    return (m_tables.*follower.known)() > before ? Duration::zero() : FailureAvoidance;
+    return (m_tables.*table.known)() > before ? Duration::zero() : FailureAvoidance;
 }
 
 // ---- requests of peers ----
--- a/src/coordination/prompt_part_quarantine.cpp
+++ b/src/coordination/prompt_part_quarantine.cpp
@@ -194,10 +194,9 @@
 {
     bool changed = false;
     for (const PartEvidence &report : reports) {
-        bool refuted = false;
-        const bool reportChanged = mergeOne(report, now, refuted);
-        changed = changed || reportChanged;
-        if (refuted || (passOn && reportChanged)) {
+        const MergeResult result = mergeReport(report, now);
+        changed = changed || result.changed;
+        if (result.refuted || (passOn && result.changed)) {
             m_evidence[report.part].reportsLeft = ReportsPerChange;
         }
     }
@@ -207,27 +206,30 @@
     return changed;
 }
 
-bool PromptPartQuarantine::mergeOne(const PartEvidence &report, TimePoint now, bool &refuted)
+PromptPartQuarantine::MergeResult PromptPartQuarantine::mergeReport(const PartEvidence &report, TimePoint now)
 {
+    MergeResult result;
     if (!m_evidence.contains(report.part) && (report.crashes.empty() || m_evidence.size() >= MaxEvidence)) {
-        return false;
+        return result;
     }
     Evidence &evidence = m_evidence[report.part];
     evidence.position = std::max(evidence.position, report.position);
-    bool changed = report.answerAge && clearUntil(evidence, now - *report.answerAge);
+    if (report.answerAge) {
+        result.changed = clearUntil(evidence, now - *report.answerAge);
+    }
     if (const auto answered = m_answeredAt.find(report.part); answered != m_answeredAt.end()) {
-        changed = clearUntil(evidence, answered->second) || changed;
-        refuted = !report.answerAge;
+        result.changed = clearUntil(evidence, answered->second) || result.changed;
+        result.refuted = !report.answerAge;
     }
     for (const EngineCrash &crash : report.crashes) {
         const TimePoint time = now - crash.age;
         if (evidence.answeredAt && time <= *evidence.answeredAt) {
-            refuted = true;
-            continue;
+            result.refuted = true;
+        } else {
+            result.changed = evidence.crashes.emplace(crash.process, time).second || result.changed;
         }
-        changed = evidence.crashes.emplace(crash.process, time).second || changed;
     }
-    return changed;
+    return result;
 }
 
 void PromptPartQuarantine::removeExpired(TimePoint now)
