Await the check of the store's reachability in a statement of its own

g++ 12 miscompiles co_await within some expressions; check-coroutines refuses it. No change of behaviour is meant.

--- a/include/apricotarch/transport/http_client.h
+++ b/include/apricotarch/transport/http_client.h
@@ -40,7 +40,8 @@
     /**
      * Sends a request and reads the complete answer.
      * @param request the request
-     * @param timeout limit for the entire exchange; if the head arrives in time, a body of a known length gets the time that a slow link needs
+     * @param timeout limit until the head arrives; a body of a known length gets the time that a slow link needs after that, any other body
+     *     must be complete by then
      * @return the answer, or ConnectionLost, TimedOut or MalformedMessage, all with Delivery::MaybeSent
      */
     [[nodiscard]] asio::awaitable<Result<HttpResponse>> exchange(HttpRequest request, Duration timeout);
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -168,7 +168,10 @@
 {
     while (true) {
         co_await m_state.clock.sleep(ReachabilityCheckInterval);
-        const bool reachable = !m_state.peers.shouldReadStore(m_state.clock.now()) || co_await m_tables.isReachable();
+        bool reachable = true;
+        if (m_state.peers.shouldReadStore(m_state.clock.now())) {
+            reachable = co_await m_tables.isReachable();
+        }
         if (reachable == std::exchange(m_storeReachable, reachable)) {
             continue;
         }
