--- a/tests/src/unit-prompt_part_quarantine.cpp
+++ b/tests/src/unit-prompt_part_quarantine.cpp
@@ -150,6 +150,19 @@
     BOOST_TEST(refuses(nodes[1], DeadlyPart));
 }
 
+BOOST_AUTO_TEST_CASE(is_passed_on_where_not_every_node_hears_from_every_other)
+{
+    std::array<PromptPartQuarantine, 3> nodes;
+    for (std::uint32_t process = 1; process <= 3; ++process) {
+        nodes[0].recordCrash(promptOf({DeadlyPart, process + 50}), process, Start);
+    }
+    BOOST_TEST(nodes[1].merge(nodes[0].nextReports(Start), true, Start + 20ms));
+    BOOST_TEST(nodes[2].merge(nodes[1].nextReports(Start + 20ms), true, Start + 40ms));
+    BOOST_TEST(refuses(nodes[2], DeadlyPart));
+    // News that a node knows already is not passed on again.
+    BOOST_TEST(!nodes[1].merge(nodes[2].nextReports(Start + 40ms), true, Start + 60ms));
+}
+
 BOOST_AUTO_TEST_CASE(is_tried_again_after_the_crash_period)
 {
     PromptPartQuarantine node;
