Log every caller's connection that is closed with work left undone

An aborted stream, unsent output after the flush timeout and input that was discarded at an idle close or after the last answer could not be told apart in the logs, and the last three left no line. caller.closed_incomplete names the reason, the request, its server, how long the server had made no progress, whether the connection had been used before, and the configuration in force. No logic is changed.

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -118,6 +118,8 @@
     void refuse(RefusalReason reason);
     void sendLocalResponse(int status, std::string_view reason, std::optional<Duration> retryAfter);
     void abortResponse(const char *outcome);
+    /// Reports that the caller's connection is closed before the answer is complete.
+    void reportClose(std::string_view reason);
     void finishRequest(int status, std::string_view outcome);
     void handleTimeout();
     void handleCallerDisconnect();
@@ -139,6 +141,7 @@
     std::size_t m_groupRank = 0; ///< Index in m_groups of the group in which the request was placed last.
     EventSplitter m_eventSplitter;
     ReplicaId m_lastServer;
+    TimePoint m_serverProgressAt; ///< When m_lastServer last made progress on the request. Valid if there was an attempt.
     std::optional<KvLocation> m_kvLocation; ///< KV cache entry of the prompt that a prefill engine holds for this request.
     ReplicaId m_prefillEngine; ///< Engine of the last accepted prefill.
     int m_prefillsSent = 0; ///< Number of prefill requests that may have reached an engine.
--- a/include/apricotarch/transport/caller_connection.h
+++ b/include/apricotarch/transport/caller_connection.h
@@ -45,6 +45,9 @@
         return m_closed;
     }
 
+    /// Number of bytes that were received and have not been removed from the input, including those that the socket still holds.
+    [[nodiscard]] std::size_t unreadBytes() const;
+
     // ---- output ----
 
     /// Queues bytes to be sent.
@@ -64,6 +67,18 @@
         return m_changeEvent;
     }
 
+    /// Counts a request that is about to be served.
+    void countRequest() noexcept
+    {
+        ++m_requestCount;
+    }
+
+    /// Number of requests that were served on this connection, the current one included.
+    [[nodiscard]] std::size_t requestCount() const noexcept
+    {
+        return m_requestCount;
+    }
+
     /// Shuts down the sending side after the queued bytes have been sent. Input is still received.
     void shutdownSend();
 
@@ -98,6 +113,7 @@
     std::string m_output;
     std::string m_sending;
     std::array<char, ReadChunkBytes> m_chunk{};
+    std::size_t m_requestCount = 0;
     bool m_reading = false;
     bool m_closed = false;
     bool m_shutdownRequested = false;
--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "apricotarch/app/incomplete_close.h"
 #include "apricotarch/app/request_forwarder.h"
 #include "apricotarch/base/log.h"
 
@@ -158,20 +159,28 @@
     while (caller.pending() > 0 && !caller.isClosed() && state.clock.now() < until) {
         co_await caller.changeEvent().waitUntil(until);
     }
+    if (caller.pending() > 0 && !caller.isClosed()) {
+        reportIncompleteClose(state, caller, {.reason = "caller_does_not_read"});
+    }
 }
 
-/// Closes the connection after discarding input. Closing it with unread input would reset it, and the last response could be lost.
-asio::awaitable<void> linger(FrontState &state, CallerConnection &caller)
+/**
+ * Closes the connection after discarding input. Closing it with unread input would reset it, and the last response could be lost.
+ * @return number of bytes that were discarded
+ */
+asio::awaitable<std::size_t> linger(FrontState &state, CallerConnection &caller)
 {
     co_await flush(state, caller);
     caller.shutdownSend();
     const TimePoint until = state.clock.now() + LingerTimeout;
+    std::size_t discarded = 0;
     while (!caller.isClosed() && state.clock.now() < until) {
+        discarded += caller.input().size();
         caller.input().clear();
         caller.resume();
         co_await caller.changeEvent().waitUntil(until);
     }
-    caller.close();
+    co_return discarded + caller.unreadBytes();
 }
 
 /// Serves one request. @return whether the connection can be used for another request
@@ -207,22 +216,32 @@
     const boost::intrusive_ptr<CallerConnection> caller(new CallerConnection(std::move(socket)));
     caller->start();
     RequestSource source(state, *caller);
+    bool isRefused = false;
     while (true) {
         const ReadResult result = co_await source.readNext();
         if (result == ReadResult::Ended) {
+            if (const std::size_t unread = caller->unreadBytes(); unread > 0) {
+                reportIncompleteClose(state, *caller, {.reason = "idle", .discardedInputBytes = unread});
+            }
             caller->close();
             co_return;
         }
         if (result != ReadResult::Request) {
+            isRefused = true;
             break;
         }
+        caller->countRequest();
         const bool canReuse = co_await serveRequest(state, *caller, source);
         if (!canReuse) {
             break;
         }
     }
     if (!caller->isClosed()) {
-        co_await linger(state, *caller);
+        const std::size_t discarded = co_await linger(state, *caller);
+        // After a refusal, the input is the rest of the refused request.
+        if (discarded > 0 && !isRefused) {
+            reportIncompleteClose(state, *caller, {.reason = "input_after_last_answer", .discardedInputBytes = discarded});
+        }
     }
     caller->close();
 }
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "apricotarch/app/incomplete_close.h"
 #include "apricotarch/base/hash.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/transport/backend_call.h"
@@ -441,8 +442,18 @@
     finishRequest(status, reason);
 }
 
+void RequestForwarder::reportClose(std::string_view reason)
+{
+    IncompleteClose close{.reason = reason, .requestId = m_request.id, .server = m_lastServer};
+    if (!m_lastServer.value().empty()) {
+        close.serverSilence = m_state.clock.now() - m_serverProgressAt;
+    }
+    reportIncompleteClose(m_state, m_caller, close);
+}
+
 void RequestForwarder::abortResponse(const char *outcome)
 {
+    reportClose(outcome);
     m_response.abort();
     finishRequest(0, outcome);
 }
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -105,6 +105,7 @@
     activeAttempt.engineProcess = engineProcessHash(backend->record);
     activeAttempt.retryAt = answerTimeout >= LongestRequestTime ? TimePoint::max() : now + answerTimeout;
     m_lastServer = backend->record.id;
+    m_serverProgressAt = now;
     m_triedServers.insert(backend->record.id);
     options.replica = backend->record.id;
     options.remainingTime = remainingTime();
@@ -233,6 +234,7 @@
 {
     activeAttempt.lastReceivedAt = m_state.clock.now();
     activeAttempt.backend->lastAnswerByteAt = activeAttempt.lastReceivedAt;
+    m_serverProgressAt = activeAttempt.lastReceivedAt;
 }
 
 void RequestForwarder::relayEvents(ActiveAttempt &activeAttempt)
@@ -268,6 +270,7 @@
             .field("request", m_request.id)
             .field("server", activeAttempt.backend->record.id)
             .field("unsent_bytes", m_caller.pending());
+        reportClose("caller_too_slow");
         m_caller.close();
     }
     m_state.eventRates[m_serviceId].add(static_cast<double>(m_eventSplitter.count() - eventsBefore), m_state.clock.now());
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -33,6 +33,13 @@
     }
 }
 
+std::size_t CallerConnection::unreadBytes() const
+{
+    ErrorCode code;
+    const std::size_t inSocket = m_closed ? 0 : m_socket.available(code);
+    return m_input.size() + (code ? 0 : inSocket);
+}
+
 void CallerConnection::read()
 {
     m_reading = true;
