Give a silent server up only if another one can take over

Callers saw streams end in the middle, their connection closed, and schedule views answered with 502, although the server only paused for one to two seconds and was sound.

Cause: an attempt was closed after the silence, and only then the next step was chosen. If the retry budget was used up, no server was left, or the second server was full or of the other stage, there was nothing to go on with and the answer was ended. All streams of a silent server need a retry at the same moment, so the budget ends first.

Now the retry is taken from the budget, and a server with a free slot that has not just failed is looked for, before the attempt is closed; until both are there the silent server keeps the request, up to the deadline. The old connection is still closed before the new attempt. Ruled out as part of this cause: unsafe requests and streams that must not run twice were never given up for silence.

Tests: request_forwarder/a_sound_server_that_is_silent_for_a_while. Before the change five of its six cases failed (10 checks); the sixth guards that one switch takes one retry.

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -60,6 +60,8 @@
 
     /// Refuses a request that cannot be served. @return whether it has been refused
     [[nodiscard]] bool refuseEarly();
+    /// Whether a part of the request's prompt is quarantined.
+    [[nodiscard]] bool hasQuarantinedPart();
     /// Ends a request with a quarantined part, if it has one. @return whether it has been ended
     [[nodiscard]] bool endIfQuarantined();
     /// Selects the servers for the next attempt. With partial views, prompts first get the loads of the groups that are compared.
@@ -92,6 +94,9 @@
     [[nodiscard]] Attempt handleResponse(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt handleConnectionLoss(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt abandonAttempt(ActiveAttempt &activeAttempt);
+    /// Takes a retry from the budget if another server can take over the request from a silent one now. Otherwise the silent server keeps
+    /// the request, since it may only pause. @return whether the attempt is to be given up
+    [[nodiscard]] bool reserveRetryAfterSilence(ActiveAttempt &activeAttempt);
     /// Returns the time from which a prefill without an answer may be lost.
     [[nodiscard]] TimePoint overdueAt(const ActiveAttempt &activeAttempt) const;
     /// Whether the answer to a prefill is lost: it is overdue, and the engine has answered later prefills.
@@ -147,6 +152,7 @@
     int m_prefillsSent = 0; ///< Number of prefill requests that may have reached an engine.
     int m_attemptsSent = 0; ///< Number of attempts that may have reached a server, without accepted prefills.
     bool m_mayHaveExecuted = false; ///< Whether a server may have executed the request.
+    bool m_retryReserved = false; ///< The next attempt has already been taken from the retry budget.
     bool m_finished = false;
     std::optional<TimePoint> m_firstEventAt;
     TimePoint m_lastEventAt; ///< Valid if m_firstEventAt is set.
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -102,9 +102,14 @@
     return endIfQuarantined();
 }
 
+bool RequestForwarder::hasQuarantinedPart()
+{
+    return m_request.prompt && m_state.partQuarantine.findQuarantined(m_request.prompt->parts);
+}
+
 bool RequestForwarder::endIfQuarantined()
 {
-    if (!m_request.prompt || !m_state.partQuarantine.findQuarantined(m_request.prompt->parts)) {
+    if (!hasQuarantinedPart()) {
         return false;
     }
     if (m_mayHaveExecuted) {
@@ -322,7 +327,7 @@
     if (next == NextStep::Deliver && m_response.streamStarted() && !attempt.answer.success()) {
         next = NextStep::Abort; // The server that should have continued the stream has returned an error.
     }
-    const bool isRetry = m_attemptsSent > 0;
+    const bool isRetry = m_attemptsSent > 0 && !std::exchange(m_retryReserved, false);
     if (next == NextStep::TryAnother && isRetry
         && !m_state.retryBudget.tryTakeRetry(m_serviceId, m_state.peers.countBudgetNodes(m_state.clock.now()), m_state.clock.now())) {
         next = chooseStepWithoutRetry(attempt.result, progress);
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -23,6 +23,9 @@
 /// A server that has a request and has sent nothing for this long may have failed without closing its connections.
 constexpr Duration SilenceTimeout = 1200ms;
 
+/// Interval at which it is checked whether another server can take over from a silent one.
+constexpr Duration SilencePollInterval = 100ms;
+
 /// A connection that is lost within this time was closed before the server had read the request, so it is no sign of a crash.
 constexpr Duration ShortestTimeToCrash = 5ms;
 
@@ -85,6 +88,7 @@
     std::optional<BackendAnswer> answer;
     bool prefillOnly = false;
     bool relaysEvents = false;
+    bool silenceNoticed = false; ///< The server's silence has been logged and counted as a failure of the server.
     std::uint32_t engineProcess = 0; ///< Process of the engine when the attempt began, see engineProcessHash().
     bool promptAnswered = false; ///< The answer has been recorded for the quarantine of parts.
     std::optional<TimePoint> firstEventAt; ///< When the first event of this attempt was received.
@@ -171,20 +175,41 @@
             const TimePoint silenceDeadline = std::max(
                 activeAttempt.retryAt, std::max(activeAttempt.lastReceivedAt, activeAttempt.backend->lastAnswerByteAt) + SilenceTimeout);
             const TimePoint retryDue = m_route->kind == RouteKind::Safe ? activeAttempt.retryAt : silenceDeadline;
-            if (now >= retryDue) {
+            if (now >= retryDue && reserveRetryAfterSilence(activeAttempt)) {
                 m_mayHaveExecuted = true;
                 connection.close();
-                activeAttempt.backend->recordFailure(now);
                 Attempt attempt;
                 attempt.result = AttemptResult::Silent;
                 co_return attempt;
             }
-            wake = std::min(wake, retryDue);
+            wake = std::min<TimePoint>(wake, std::max<TimePoint>(retryDue, now + SilencePollInterval));
         }
         co_await m_caller.changeEvent().waitUntil(wake);
     }
 }
 
+bool RequestForwarder::reserveRetryAfterSilence(ActiveAttempt &activeAttempt)
+{
+    const TimePoint now = m_state.clock.now();
+    if (!std::exchange(activeAttempt.silenceNoticed, true)) {
+        activeAttempt.backend->recordFailure(now);
+        LogEvent("request.server_silent")
+            .field("request", m_request.id)
+            .field("server", activeAttempt.backend->record.id)
+            .field("silent_ms", toMilliseconds(now - m_serverProgressAt))
+            .field("answer_started", m_response.streamStarted() ? "yes" : "no");
+    }
+    if (hasQuarantinedPart() || chooseNextStep(AttemptResult::Silent, collectProgress()) != NextStep::TryAnother) {
+        return false;
+    }
+    const BackendPointer next = placeInGroup(m_groupRank).server;
+    if (!next || next->avoidUntil > now || next->load().requests >= next->record.slots) {
+        return false;
+    }
+    m_retryReserved = m_state.retryBudget.tryTakeRetry(m_serviceId, m_state.peers.countBudgetNodes(now), now);
+    return m_retryReserved;
+}
+
 TimePoint RequestForwarder::overdueAt(const ActiveAttempt &activeAttempt) const
 {
     const auto predicted = std::chrono::duration<double, std::milli>(OverduePrefillFactor * m_lastPlacement.predictedFirstEventMs);
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -550,6 +550,115 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_sound_server_that_is_silent_for_a_while)
+
+// Streams were aborted, and schedule views answered with 502, after 1.2 s of silence, although the server would have gone on.
+
+constexpr auto Silence = 1700ms;
+
+/// Sends the first event of a stream, and the rest after the silence.
+ScriptedAnswer pausedStream(const RequestHead &head)
+{
+    return ScriptedAnswer{streamHead(head) + chunk(event(1)), false, chunk(event(2)) + "0\r\n\r\n", Silence};
+}
+
+/// Sends a stream's request to a node with two such servers. @return the answer to the caller
+std::string requestPausedStream(TestNode &node)
+{
+    for (const char *id : {"a", "b"}) {
+        node.addServer(id, [](const RequestHead &head, const std::string &) {
+            return pausedStream(head);
+        });
+    }
+    return node.sendRequest(PlanRequest, "0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_stream_while_the_retry_budget_is_used_up)
+{
+    TestNode node;
+    node.state.retryBudget = SharedRetryBudget({0, 0, 10s});
+    const std::string answer = requestPausedStream(node);
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(node.servers[0]->targets.size() + node.servers[1]->targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_stream_if_there_is_no_other_server)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return pausedStream(head);
+    });
+    const std::string answer = node.sendRequest(PlanRequest, "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_stream_if_the_other_server_is_full)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return pausedStream(head);
+    });
+    node.addServer("b", [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{DeclinedResponse};
+    });
+    node.state.backends.find(ReplicaId("b"))->localLoad.requests = 6;
+    const std::string answer = node.sendRequest(PlanRequest, "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(node.servers[1]->targets.empty());
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_stream_if_the_only_other_server_cannot_continue_it)
+{
+    // An engine that only prefills was counted as a server that is left to try.
+    TestNode node;
+    node.addEngine("decode", EngineStage::Decode, [](const RequestHead &head, const std::string &) {
+        return pausedStream(head);
+    });
+    node.addEngine("prefill", EngineStage::Prefill, [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{DeclinedResponse};
+    });
+    const std::string request = "POST /long/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r6\r\nX-Deadline-Ms: 8000\r\nX-Model: m\r\n"
+                                "X-Token-Counts: 150,80\r\nX-Prompt-Prefix: a1:100,b2:50\r\nContent-Length: 0\r\n\r\n";
+    const std::string answer = node.sendRequest(request, "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(answers_a_schedule_view_while_the_retry_budget_is_used_up)
+{
+    TestNode node;
+    node.state.retryBudget = SharedRetryBudget({0, 0, 10s});
+    for (const char *id : {"a", "b"}) {
+        node.addServer(id, [](const RequestHead &head, const std::string &) {
+            ScriptedAnswer answer{fullResponse(head, "week")};
+            answer.delay = 2400ms;
+            return answer;
+        });
+    }
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_CASE(and_stays_silent_loses_its_stream_for_one_retry)
+{
+    TestNode node;
+    node.state.retryBudget = SharedRetryBudget({0, 2, 10s}); // Half of the slack is used, so this allows one retry.
+    int requestCount = 0;
+    const auto stopFirst = [&requestCount](const RequestHead &head, const std::string &) {
+        return ++requestCount == 1 ? ScriptedAnswer{streamHead(head) + chunk(event(1))}
+                                   : ScriptedAnswer{streamHead(head) + chunk(event(2)) + "0\r\n\r\n"};
+    };
+    node.addServer("a", stopFirst);
+    node.addServer("b", stopFirst);
+    const std::string answer = node.sendRequest(PlanRequest, "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(requestCount == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
 
 BOOST_AUTO_TEST_CASE(is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not)
