--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "apricotarch/app/incomplete_close.h"
 #include "apricotarch/base/hash.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/transport/backend_call.h"
@@ -101,9 +102,14 @@
     return endIfQuarantined();
 }
 
+bool RequestForwarder::hasQuarantinedPart()
+{
+    return m_request.prompt && m_state.partQuarantine.findQuarantined(m_request.prompt->parts);
+}
+
 bool RequestForwarder::endIfQuarantined()
 {
-    if (!m_request.prompt || !m_state.partQuarantine.findQuarantined(m_request.prompt->parts)) {
+    if (!hasQuarantinedPart()) {
         return false;
     }
     if (m_mayHaveExecuted) {
@@ -321,7 +327,7 @@
     if (next == NextStep::Deliver && m_response.streamStarted() && !attempt.answer.success()) {
         next = NextStep::Abort; // The server that should have continued the stream has returned an error.
     }
-    const bool isRetry = m_attemptsSent > 0;
+    const bool isRetry = m_attemptsSent > 0 && !std::exchange(m_retryReserved, false);
     if (next == NextStep::TryAnother && isRetry
         && !m_state.retryBudget.tryTakeRetry(m_serviceId, m_state.peers.countBudgetNodes(m_state.clock.now()), m_state.clock.now())) {
         next = chooseStepWithoutRetry(attempt.result, progress);
@@ -441,8 +447,18 @@
     finishRequest(status, reason);
 }
 
+void RequestForwarder::reportClose(std::string_view reason)
+{
+    IncompleteClose close{.reason = reason, .requestId = m_request.id, .server = m_lastServer};
+    if (!m_lastServer.value().empty()) {
+        close.serverSilence = m_state.clock.now() - m_serverProgressAt;
+    }
+    reportIncompleteClose(m_state, m_caller, close);
+}
+
 void RequestForwarder::abortResponse(const char *outcome)
 {
+    reportClose(outcome);
     m_response.abort();
     finishRequest(0, outcome);
 }
