Do not charge a second retry after one that reached no server

Callers saw streams end in the middle after their server had gone silent: the retry taken from the budget went to a server to which no connection could be established, the next one was charged again, and without budget the stream was aborted.

Cause: isChargedToRetryBudget() says that an attempt after NotSent is not charged, but the forwarder charged every attempt after the first that was sent. The budget counts requests that arrive at servers, and the charged one had not. Loops stay bounded, as each server is tried once.

Test: .../and_stays_silent_loses_its_stream_for_one_retry_also_if_the_next_server_cannot_be_reached; failed before (the stream was aborted with end=not_sent).

--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -327,8 +327,8 @@
     if (next == NextStep::Deliver && m_response.streamStarted() && !attempt.answer.success()) {
         next = NextStep::Abort; // The server that should have continued the stream has returned an error.
     }
-    const bool isRetry = m_attemptsSent > 0 && !std::exchange(m_retryReserved, false);
-    if (next == NextStep::TryAnother && isRetry
+    const bool isCharged = m_attemptsSent > 0 && isChargedToRetryBudget(attempt.result) && !std::exchange(m_retryReserved, false);
+    if (next == NextStep::TryAnother && isCharged
         && !m_state.retryBudget.tryTakeRetry(m_serviceId, m_state.peers.countBudgetNodes(m_state.clock.now()), m_state.clock.now())) {
         next = chooseStepWithoutRetry(attempt.result, progress);
         m_state.metrics.increment(CounterFamily::Retries, "no_budget");
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -657,6 +657,30 @@
     BOOST_TEST(requestCount == 2);
 }
 
+BOOST_AUTO_TEST_CASE(and_stays_silent_loses_its_stream_for_one_retry_also_if_the_next_server_cannot_be_reached)
+{
+    // A second retry was taken although the first had reached no server, so the stream was aborted.
+    TestNode node;
+    node.state.retryBudget = SharedRetryBudget({0, 2, 10s});
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(1))};
+    });
+    CallerProbe caller(node, PlanRequest);
+    node.runFor(100ms);
+    node.addServer("other", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(2)) + "0\r\n\r\n"};
+    });
+    node.state.backends.find(ReplicaId("other"))->localLoad.requests = 3;
+    node.addServer("unreachable", [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{};
+    });
+    node.servers.pop_back();
+    node.runFor(1500ms);
+    BOOST_TEST((node.state.backends.find(ReplicaId("unreachable"))->failures > 0));
+    BOOST_TEST(caller.answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(caller.answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
