Serve a request that has arrived at an idle connection whose limit has passed

A caller whose request reached the node just before the end of the idle limit could find its connection closed: if the timer's handler ran before the socket was read, the request was discarded.

Cause: the idle close looked at the bytes that had been read, not at those that the socket holds. Ruled out: a lowered limit closing connections that became idle under a longer one. The timer is set when the connection becomes idle and only the limit's end is computed again; a test for it passes before and after this change and stays as a guard, as does one for a raised limit.

Test: request_forwarder/an_idle_connection_of_a_caller/ serves_a_request_that_arrived_before_its_limit_was_noticed; failed before (one answer instead of two; caller.closed_incomplete reason=idle discarded_bytes=36).

--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -60,7 +60,9 @@
             if (m_caller.isClosed()) {
                 co_return ReadResult::Ended;
             }
-            if (m_state.clock.now() >= deadline()) {
+            // A request that has arrived at an idle connection is served, also if the socket has not been read yet.
+            const bool hasArrived = !m_firstByteAt && m_caller.unreadBytes() > 0;
+            if (m_state.clock.now() >= deadline() && !hasArrived) {
                 co_return handleTimeout();
             }
             co_await m_caller.changeEvent().waitUntil(deadline());
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <boost/test/unit_test.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -194,6 +196,29 @@
         read();
     }
 
+    /// Sends another request on the connection. Fails silently if the node has closed it.
+    void send(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// Number of heads of answers received.
+    [[nodiscard]] std::size_t answers() const
+    {
+        std::size_t count = 0;
+        for (std::size_t at = answer.find("HTTP/1.1 "); at != std::string::npos; at = answer.find("HTTP/1.1 ", at + 1)) {
+            ++count;
+        }
+        return count;
+    }
+
+    /// Whether the node has closed the connection.
+    [[nodiscard]] bool isClosed() const
+    {
+        return m_closed;
+    }
+
     std::string answer;
 
 private:
@@ -201,6 +226,7 @@
     {
         m_socket.async_read_some(boost::asio::buffer(m_chunk), [this](const boost::system::error_code &code, std::size_t size) {
             if (code) {
+                m_closed = true;
                 return;
             }
             answer.append(m_chunk.data(), size);
@@ -210,6 +236,7 @@
 
     tcp::socket m_socket;
     std::array<char, 4096> m_chunk{};
+    bool m_closed = false;
 };
 
 const std::string BookingRequest =
@@ -897,6 +924,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_idle_connection_of_a_caller)
+
+/// Gives the plan of a node another idle limit.
+void setIdleLimit(TestNode &node, std::chrono::milliseconds limit)
+{
+    CallerLimits limits = node.state.plan->limits();
+    limits.idleTimeout = limit;
+    node.state.plan = std::make_shared<RoutingPlan>(2, std::vector<Route>(), std::vector<RoutedService>(), limits);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_limit_under_which_it_became_idle)
+{
+    // After a change to a lower limit, callers may still use connections for as long as the limit before allowed.
+    TestNode node;
+    setIdleLimit(node, 800ms);
+    CallerProbe caller(node, "GET /none/1 HTTP/1.1\r\nHost: desk\r\n\r\n");
+    node.runFor(100ms);
+    setIdleLimit(node, 200ms);
+    node.runFor(300ms);
+    caller.send("GET /none/2 HTTP/1.1\r\nHost: desk\r\n\r\n");
+    node.runFor(100ms);
+    BOOST_TEST(caller.answers() == 2U);
+    // From now on the new limit holds.
+    node.runFor(400ms);
+    BOOST_TEST(caller.isClosed());
+}
+
+BOOST_AUTO_TEST_CASE(may_stay_idle_longer_when_the_limit_is_raised)
+{
+    TestNode node;
+    setIdleLimit(node, 300ms);
+    CallerProbe caller(node, "GET /none/1 HTTP/1.1\r\nHost: desk\r\n\r\n");
+    node.runFor(100ms);
+    setIdleLimit(node, 800ms);
+    node.runFor(400ms);
+    BOOST_TEST(!caller.isClosed());
+}
+
+BOOST_AUTO_TEST_CASE(serves_a_request_that_arrived_before_its_limit_was_noticed)
+{
+    // The node did not run while the request arrived and the limit passed.
+    TestNode node;
+    setIdleLimit(node, 200ms);
+    CallerProbe caller(node, "GET /none/1 HTTP/1.1\r\nHost: desk\r\n\r\n");
+    node.runFor(100ms);
+    boost::asio::post(node.loop, [&] {
+        std::this_thread::sleep_for(150ms);
+        // Runs after the loop has found the expired timer, and before the timer's handler.
+        boost::asio::post(node.loop, [&] {
+            caller.send("GET /none/2 HTTP/1.1\r\nHost: desk\r\n\r\n");
+        });
+    });
+    node.runFor(300ms);
+    BOOST_TEST(caller.answers() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_request_that_cannot_be_forwarded)
 
 BOOST_AUTO_TEST_CASE(is_refused_with_the_reason)
