Revert "Continue a stream without a separate prefill on its last attempt"

So the fault is real and stays open: a stream that has begun is aborted if the prefill on its last attempt fails.

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -86,8 +86,6 @@
 
     [[nodiscard]] asio::awaitable<void> sendUntilDone();
     [[nodiscard]] asio::awaitable<void> prefill(const Placement &placement);
-    /// Whether the next attempt is the last one that can continue the stream. A prefill at another engine would use it up if it failed.
-    [[nodiscard]] bool isLastContinuation() const;
     /// Takes a retry from the budget for each prefill after the first. @return whether a prefill may be sent
     [[nodiscard]] bool takePrefillBudget();
     [[nodiscard]] asio::awaitable<Attempt> sendAttempt(
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -272,7 +272,7 @@
             refuse(RefusalReason::Overloaded);
             break;
         }
-        if (server && placement.prefillEngine && !m_kvLocation && !isLastContinuation() && takePrefillBudget()) {
+        if (server && placement.prefillEngine && !m_kvLocation && takePrefillBudget()) {
             co_await prefill(placement);
             if (m_finished || !m_kvLocation) {
                 continue;
@@ -314,11 +314,6 @@
     }
 }
 
-bool RequestForwarder::isLastContinuation() const
-{
-    return m_response.streamStarted() && m_attemptsSent + 1 >= m_route->maxAttempts;
-}
-
 bool RequestForwarder::takePrefillBudget()
 {
     const TimePoint now = m_state.clock.now();
