Use no server whose entry has a value out of range

Callers: an entry of another writer could name a server with 6 slots in place of 4,294,967,302, one with a negative number, one at 0.0.0.0 (this machine) or at a multicast address, and one whose key contains line ends. The key is sent to the server in a header, so the rest of it became further headers of callers' requests. From a configuration, times of 2^63 ms became times in the past, and a request to a route with an empty list of services read past the end of that list.

Cause: numbers were narrowed without a check; the key and the address were taken as they are.

Evidence, before the change: records: 81 checks fail in names_no_server_if_a_number_is_out_of_range, ..._if_the_address_cannot_be_one, ..._if_its_key_cannot_be_sent_in_a_header, ..._after_hundreds_of_random_changes and the_configuration/*.

Ruled out: deep nesting (the parser stops at 32 levels) and ports out of range (rejected already). Both have tests now, which fail with a limit of 100,000 levels and with a port that is read as 32 bits. None of 2,000 random entries made the decoder throw, before or after the change.

Change: an entry with such a value names no server. A configuration's numbers are set to the nearest supported value instead, since a configuration that is not read at all does more harm.

Result: the suite passes.

--- a/include/apricotarch/base/json_object.h
+++ b/include/apricotarch/base/json_object.h
@@ -19,6 +19,13 @@
 namespace apricotarch
 {
 
+/// The supported values of a number, both ends included.
+struct NumberRange
+{
+    std::int64_t lowest = 0;
+    std::int64_t highest = 0;
+};
+
 /// Reads the fields of one object. Reading a missing or mistyped field returns its type's zero or empty value.
 class JsonObjectReader
 {
@@ -35,7 +42,8 @@
 
     [[nodiscard]] std::string text(std::string_view key);
     [[nodiscard]] std::int64_t number(std::string_view key);
-    [[nodiscard]] double real(std::string_view key);
+    [[nodiscard]] std::int64_t numberWithin(std::string_view key, NumberRange range);
+    [[nodiscard]] double real(std::string_view key); ///< Finite.
     [[nodiscard]] bool flag(std::string_view key);
     [[nodiscard]] const boost::json::array &list(std::string_view key);
     [[nodiscard]] const boost::json::value &value(std::string_view key);
@@ -45,6 +53,8 @@
     [[nodiscard]] bool has(std::string_view key) const noexcept;
     [[nodiscard]] std::string textOr(std::string_view key, std::string fallback);
     [[nodiscard]] std::int64_t numberOr(std::string_view key, std::int64_t fallback);
+    /// Returns the nearest number of the range.
+    [[nodiscard]] std::int64_t clampedNumberOr(std::string_view key, std::int64_t fallback, NumberRange range);
     [[nodiscard]] bool flagOr(std::string_view key, bool fallback);
 
     // ---- outcome ----
--- a/src/base/endpoint.cpp
+++ b/src/base/endpoint.cpp
@@ -34,7 +34,8 @@
     const std::string_view digits = text.substr(colon + 1);
     std::uint16_t port = 0;
     const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (code || error != std::errc() || end != digits.data() + digits.size() || port == 0) {
+    const bool containsNull = host.find('\0') != std::string_view::npos; // make_address() reads only the text before it.
+    if (code || containsNull || error != std::errc() || end != digits.data() + digits.size() || port == 0) {
         return invalid();
     }
     return Endpoint{std::string(host), port};
--- a/src/base/json_object.cpp
+++ b/src/base/json_object.cpp
@@ -1,5 +1,7 @@
 #include "apricotarch/base/json_object.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <boost/json/parse.hpp>
@@ -52,11 +54,21 @@
     return field->get_int64();
 }
 
+std::int64_t JsonObjectReader::numberWithin(std::string_view key, NumberRange range)
+{
+    const std::int64_t value = number(key);
+    if (value < range.lowest || value > range.highest) {
+        reportFault(key, "from " + std::to_string(range.lowest) + " to " + std::to_string(range.highest));
+        return range.lowest;
+    }
+    return value;
+}
+
 double JsonObjectReader::real(std::string_view key)
 {
     const json::value *field = find(key);
-    if (field == nullptr || !field->is_number()) {
-        reportFault(key, "a number");
+    if (field == nullptr || !field->is_number() || !std::isfinite(field->to_number<double>())) {
+        reportFault(key, "a finite number");
         return 0;
     }
     return field->to_number<double>();
@@ -109,6 +121,11 @@
     return has(key) ? number(key) : fallback;
 }
 
+std::int64_t JsonObjectReader::clampedNumberOr(std::string_view key, std::int64_t fallback, NumberRange range)
+{
+    return has(key) ? std::clamp(number(key), range.lowest, range.highest) : fallback;
+}
+
 bool JsonObjectReader::flagOr(std::string_view key, bool fallback)
 {
     return has(key) ? flag(key) : fallback;
