--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -115,6 +115,17 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(a_receipt_whose_handle_would_add_headers_is_invalid)
+{
+    // The handle is sent to the decode engine in a header, and with it whatever the prefill engine put after a line's end.
+    const platform::ProtocolAdapter protocolAdapter;
+    BOOST_TEST(protocolAdapter.decodePrefill(R"({"kvHandle":"3fa09c41b7d5","tokens":1460,"version":1})", "e").has_value());
+    for (const char *handle : {R"("a\r\nX-Stage: prefill")", R"("a b")", R"("a\u0000")", R"("")", R"("\u00e9")", "17", "null"}) {
+        const std::string body = R"({"tokens":1460,"version":1,"kvHandle":)" + std::string(handle) + '}';
+        BOOST_TEST(!protocolAdapter.decodePrefill(body, "e").has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_is_not_executed_only_if_it_states_so)
 {
     const platform::ProtocolAdapter protocolAdapter;
