--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -75,6 +75,27 @@
     BOOST_TEST(!platform::ProtocolAdapter().decodeRequest("GET", "http://a/b/", {{"Host", "a"}}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(keeps_its_meaning_with_numbers_that_are_too_large)
+{
+    // A time limit of 2^63 - 1 ms had already passed when the request arrived.
+    const platform::ProtocolAdapter protocolAdapter;
+    const HttpHeaders headers = {{"Host", "a"},
+        {"X-Deadline-Ms", "9223372036854775807"},
+        {"X-Model", "m"},
+        {"X-Token-Counts", "9223372036854775807,-80"},
+        {"X-Prompt-Prefix", "a1:100,b2:9223372036854775807,c3:5"}};
+    const Result<CallerRequest> request = protocolAdapter.decodeRequest("POST", "/a/", headers);
+    BOOST_REQUIRE(request.has_value());
+    BOOST_REQUIRE(request->timeLimit.has_value());
+    BOOST_TEST((TimePoint(1h) + *request->timeLimit > TimePoint(24h)));
+    BOOST_TEST(request->prompt->promptTokens > 0);
+    BOOST_TEST(request->prompt->promptTokens <= std::int64_t(1) << 40);
+    BOOST_TEST(request->prompt->maxOutputTokens == 0);
+    BOOST_TEST(request->prompt->parts.size() == 1U);
+    const HttpHeaders negative = {{"Host", "a"}, {"X-Model", "m"}, {"X-Prompt-Prefix", "a1:100,b2:-5,c3:5"}};
+    BOOST_TEST(protocolAdapter.decodeRequest("POST", "/a/", negative)->prompt->parts.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(is_forwarded_unchanged_except_for_hop_by_hop_and_reserved_headers)
 {
     HttpHeaders headers = requestHeaders();
