Take only answers that surely belong to a request for its refusal

Callers: after a server had written an earlier refusal once more on a kept connection, the next request on it was answered 503 or was sent to a second server, although the first one was running it.

Cause: an answer without an id that is no success was accepted as the answer to whatever request the connection carried.

Ruled out: refusals with the id of another request, and a refusal that arrives in part while the connection is idle.

Change: an answer without an id is accepted only in the first exchange of a connection, when no other request can have been sent on it; otherwise it is skipped like an answer with another id. A connection is not used again for an id that it has carried, nor for a request without an id, and is closed after 1,000 exchanges, which bounds the ids that it keeps.

--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -115,6 +116,24 @@
         return m_connected;
     }
 
+    /// Whether the current or last exchange is the first one, so that no answer to an earlier request can arrive.
+    [[nodiscard]] bool isFirstExchange() const noexcept
+    {
+        return m_exchanges <= 1;
+    }
+
+    /// Whether a request with this id may have been sent on the connection before.
+    [[nodiscard]] bool mayHaveCarried(const RequestId &request) const
+    {
+        return m_requestHashes.contains(std::hash<RequestId>()(request));
+    }
+
+    /// Records that a request with this id is sent on the connection.
+    void recordRequest(const RequestId &request)
+    {
+        m_requestHashes.insert(std::hash<RequestId>()(request));
+    }
+
     TimePoint idleSince; ///< Valid while idle.
     Duration idleTimeout{}; ///< How long the connection may be reused after it became idle.
 
@@ -141,6 +160,7 @@
     void notifyWaiter();
 
     static constexpr std::size_t ReadChunkBytes = 8192;
+    static constexpr std::size_t MaxExchanges = 1000; ///< The connection is closed after so many, which bounds the ids that it keeps.
 
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_connectTimer;
@@ -155,6 +175,8 @@
     AsyncEvent *m_changeEvent = nullptr;
     Error m_error;
     bool m_isHeadRequest = false;
+    std::size_t m_exchanges = 0; ///< Exchanges started.
+    std::unordered_set<std::size_t> m_requestHashes; ///< Of the ids of the requests sent.
     std::size_t m_skippedBytes = 0; ///< Bytes of answers that belong to no request, within the current exchange.
     bool m_skipping = false; ///< The answer being read belongs to another request and is discarded.
     bool m_connected = false;
@@ -171,6 +193,13 @@
     Duration idleTimeout = std::chrono::seconds(4); ///< Used unless a server announces a shorter time.
 };
 
+/// Which kept connections may serve a request.
+enum class ConnectionReuse : std::uint8_t {
+    Any,
+    RecentlyUsed, ///< For a request that cannot be sent again.
+    None, ///< For a request whose answer has no id: a late answer to an earlier request could not be told apart.
+};
+
 /// Pool of idle connections to backend servers.
 class BackendConnectionPool
 {
@@ -179,10 +208,15 @@
 
     /**
      * Returns an idle connection, or a new one that is not yet connected.
-     * @param requireRecentlyUsed whether to reuse only a recently used connection, for a request that cannot be sent again
+     * @param reuse which kept connections may be returned
+     * @param request id of the request, if it has one; a connection that has carried the same id before is not returned
      */
-    [[nodiscard]] BackendConnection::Pointer acquire(
-        const asio::any_io_executor &executor, const ReplicaId &replica, const Endpoint &endpoint, bool requireRecentlyUsed, TimePoint now);
+    [[nodiscard]] BackendConnection::Pointer acquire(const asio::any_io_executor &executor,
+        const ReplicaId &replica,
+        const Endpoint &endpoint,
+        ConnectionReuse reuse,
+        TimePoint now,
+        const RequestId &request = RequestId());
 
     /// Returns a connection to the pool after endExchange() has returned true.
     void release(BackendConnection::Pointer connection, TimePoint now);
@@ -197,6 +231,10 @@
     }
 
 private:
+    /// Takes an idle connection out of the pool. @return the connection; nullptr if none may be used
+    [[nodiscard]] BackendConnection::Pointer takeIdle(
+        const ReplicaId &replica, const Endpoint &endpoint, ConnectionReuse reuse, TimePoint now, const RequestId &request);
+
     ConnectionPoolLimits m_limits;
     std::map<ReplicaId, std::vector<BackendConnection::Pointer>> m_idle;
     std::uint64_t m_opened = 0;
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -120,13 +120,22 @@
         m_eventSplitter.startStream();
         m_state.crashTracker.recordStart(backend->record.id, m_contentHash);
     }
-    const auto belongsToRequest = [this](const AnswerHead &head) {
+    const ConnectionReuse reuse = m_request.id.empty() ? ConnectionReuse::None
+        : m_route->idempotent() || options.prefillOnly ? ConnectionReuse::Any
+                                                       : ConnectionReuse::RecentlyUsed;
+    activeAttempt.connection = m_state.backendPool.acquire(
+        co_await asio::this_coro::executor, backend->record.id, backend->record.address, reuse, now, m_request.id);
+    const auto belongsToRequest = [this, &connection = *activeAttempt.connection](const AnswerHead &head) {
+        if (head.status < 200) {
+            return false; // Informational answers precede the final one.
+        }
         const BackendAnswer answer = m_state.protocolAdapter.decodeAnswer(head.status, head.reason, head.headers);
-        return head.status >= 200 && (answer.request ? *answer.request == m_request.id : !answer.success());
+        if (answer.request) {
+            return *answer.request == m_request.id;
+        }
+        // Without an id, it may answer an earlier request on the connection.
+        return !answer.success() && connection.isFirstExchange();
     };
-    const bool needsRecentConnection = !m_route->idempotent() && !options.prefillOnly;
-    activeAttempt.connection = m_state.backendPool.acquire(
-        co_await asio::this_coro::executor, backend->record.id, backend->record.address, needsRecentConnection, now);
     activeAttempt.connection->startExchange(m_state.protocolAdapter.encodeRequest(m_request, options),
         m_request.method == "HEAD",
         belongsToRequest,
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -49,6 +49,7 @@
     m_changeEvent = &changeEvent;
     m_maybeSent = false;
     m_skippedBytes = 0;
+    ++m_exchanges;
     resetParser();
     if (m_connected) {
         m_phase = ExchangePhase::Waiting;
@@ -211,8 +212,8 @@
 bool BackendConnection::endExchange()
 {
     m_changeEvent = nullptr;
-    const bool reusable =
-        m_phase == ExchangePhase::Complete && !m_broken && m_parser->head().keepAlive && !m_parser->head().endsWithConnection;
+    const bool reusable = m_phase == ExchangePhase::Complete && !m_broken && m_parser->head().keepAlive
+        && !m_parser->head().endsWithConnection && m_exchanges < MaxExchanges;
     if (!reusable) {
         close();
         return false;
@@ -265,15 +266,34 @@
 {
 }
 
-BackendConnection::Pointer BackendConnectionPool::acquire(
-    const asio::any_io_executor &executor, const ReplicaId &replica, const Endpoint &endpoint, bool requireRecentlyUsed, TimePoint now)
+BackendConnection::Pointer BackendConnectionPool::acquire(const asio::any_io_executor &executor,
+    const ReplicaId &replica,
+    const Endpoint &endpoint,
+    ConnectionReuse reuse,
+    TimePoint now,
+    const RequestId &request)
+{
+    BackendConnection::Pointer connection = takeIdle(replica, endpoint, reuse, now, request);
+    if (!connection) {
+        ++m_opened;
+        connection = new BackendConnection(executor, replica, endpoint);
+    }
+    if (!request.empty()) {
+        connection->recordRequest(request);
+    }
+    return connection;
+}
+
+BackendConnection::Pointer BackendConnectionPool::takeIdle(
+    const ReplicaId &replica, const Endpoint &endpoint, ConnectionReuse reuse, TimePoint now, const RequestId &request)
 {
     auto &idle = m_idle[replica];
-    while (!idle.empty()) {
+    while (!idle.empty() && reuse != ConnectionReuse::None) {
         BackendConnection::Pointer connection = idle.back();
         const Duration idleTime = now - connection->idleSince;
-        if (requireRecentlyUsed && idleTime > MaxFreshIdleTime && connection->isReusable()) {
-            break; // The remaining connections have been idle for longer.
+        const bool tooOld = reuse == ConnectionReuse::RecentlyUsed && idleTime > MaxFreshIdleTime;
+        if (connection->isReusable() && (tooOld || connection->mayHaveCarried(request))) {
+            break; // Of the remaining connections, which have been idle for longer, none is tried.
         }
         idle.pop_back();
         if (connection->isReusable() && connection->endpoint() == endpoint && idleTime < connection->idleTimeout) {
@@ -281,8 +301,7 @@
         }
         connection->close();
     }
-    ++m_opened;
-    return new BackendConnection(executor, replica, endpoint);
+    return nullptr;
 }
 
 void BackendConnectionPool::release(BackendConnection::Pointer connection, TimePoint now)
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -52,6 +52,8 @@
     }
 
     std::vector<std::string> targets; ///< Targets of the received requests, in order.
+    std::size_t connections = 0; ///< Number of accepted connections.
+    std::size_t requestsOnConnection = 0; ///< While the script runs: requests received on the connection, including the current one.
     std::size_t repeatedBytes = 0; ///< Bytes sent in repetitions.
     bool repetitionEnded = false; ///< Whether the other side has closed a connection during repetitions.
 
@@ -67,6 +69,7 @@
 
         Socket socket;
         std::string input;
+        std::size_t requests = 0;
         std::array<char, 4096> chunk{};
         std::unique_ptr<RequestParser> parser = std::make_unique<RequestParser>(ReadLimits());
     };
@@ -75,6 +78,7 @@
     {
         m_acceptor.async_accept([this](const boost::system::error_code &code, Socket socket) {
             if (!code) {
+                ++connections;
                 read(std::make_shared<Connection>(std::move(socket)));
                 accept();
             }
@@ -103,6 +107,7 @@
     {
         const RequestHead head = connection->parser->head();
         targets.push_back(head.target);
+        requestsOnConnection = ++connection->requests;
         const auto reply = std::make_shared<ScriptedAnswer>(m_script(head, connection->parser->body()));
         connection->parser = std::make_unique<RequestParser>(ReadLimits());
         const auto timer = std::make_shared<boost::asio::steady_timer>(connection->socket.get_executor(), reply->delay);
--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -96,6 +96,12 @@
     BOOST_TEST(protocolAdapter.decodeRequest("POST", "/a/", negative)->prompt->parts.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(is_invalid_with_more_than_one_id)
+{
+    const HttpHeaders headers = {{"Host", "a"}, {"X-Request-Id", "r1"}, {"x-request-id", "r2"}};
+    BOOST_TEST(!platform::ProtocolAdapter().decodeRequest("GET", "/a/", headers).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(is_forwarded_unchanged_except_for_hop_by_hop_and_reserved_headers)
 {
     HttpHeaders headers = requestHeaders();
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -434,6 +434,103 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_kept_connection_on_which_a_server_repeats_an_earlier_refusal)
+
+/// A refusal with the id of a request, or without one.
+std::string refusal(const std::string &id)
+{
+    return "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + (id.empty() ? id : "X-Request-Id: " + id + "\r\n")
+        + "Content-Length: 4\r\n\r\nfull";
+}
+
+std::string bookingWithHeaders(const std::string &headers)
+{
+    return "POST /book/1 HTTP/1.1\r\nHost: desk\r\n" + headers + "X-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nvisi";
+}
+
+/// A node with two servers. The first answers a view; then it sends `beforeAnswer` and its answer to each booking.
+class KeptConnectionNode : public TestNode
+{
+public:
+    /// @param afterView sent after the answer to the view, at once or while the connection is idle
+    explicit KeptConnectionNode(std::string beforeAnswer, std::string afterView = "", bool whileIdle = false)
+    {
+        addServer("a", [=](const RequestHead &head, const std::string &) {
+            if (head.method != "GET") {
+                return ScriptedAnswer{beforeAnswer + fullResponse(head, "booked")};
+            }
+            ScriptedAnswer answer{fullResponse(head, "week") + (whileIdle ? "" : afterView)};
+            answer.repeated = whileIdle ? afterView : "";
+            answer.pause = 20ms;
+            return answer;
+        });
+        addServer("b", [](const RequestHead &head, const std::string &) {
+            return ScriptedAnswer{fullResponse(head, "booked again")};
+        });
+        state.backends.find(ReplicaId("b"))->localLoad.requests = 5;
+        BOOST_TEST(sendRequest(ViewRequest, "week").ends_with("week"));
+    }
+};
+
+BOOST_AUTO_TEST_CASE(answers_the_next_request_with_its_own_answer)
+{
+    // The refusal was taken for the next request's, which then ran at a second server, or whose caller was told to try again.
+    for (const char *id : {"", "r2", "r0"}) {
+        KeptConnectionNode node(refusal(id));
+        BOOST_TEST_CONTEXT("refusal of '" << id << "'")
+        {
+            BOOST_TEST(node.sendRequest(BookingRequest, "\r\n\r\nbooked").ends_with("\r\n\r\nbooked"));
+            BOOST_TEST(node.servers[0]->connections == 1U);
+            BOOST_TEST(node.servers[1]->targets.empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_not_used_again_if_part_of_the_refusal_arrives_before_the_next_request)
+{
+    for (const bool whileIdle : {false, true}) {
+        KeptConnectionNode node(refusal("").substr(20), refusal("").substr(0, 20), whileIdle);
+        node.runFor(50ms);
+        // The rest of the refusal precedes the answer on the new connection, so that the booking may have run.
+        BOOST_TEST(node.sendRequest(BookingRequest).starts_with("HTTP/1.1 502"));
+        BOOST_TEST(node.servers[0]->connections == 2U);
+        BOOST_TEST(node.servers[1]->targets.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_not_used_for_a_request_whose_id_it_has_carried)
+{
+    // The answers to two requests with one id cannot be told apart.
+    KeptConnectionNode node("");
+    BOOST_TEST(node.sendRequest(bookingWithHeaders("X-Request-Id: r1\r\n"), "booked").ends_with("booked"));
+    BOOST_TEST(node.servers[0]->connections == 1U);
+    BOOST_TEST(node.sendRequest(bookingWithHeaders("X-Request-Id: r1\r\n"), "booked").ends_with("booked"));
+    BOOST_TEST(node.servers[0]->connections == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_used_for_a_request_without_an_id)
+{
+    // Nor can the answers to requests without an id. A server declines such a request with an answer without an id.
+    TestNode node;
+    ScriptedServer &server = node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{
+            head.method == "GET" ? fullResponse(head, "week") : "HTTP/1.1 400 No Id\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nnoid"};
+    });
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    BOOST_TEST(node.sendRequest(bookingWithHeaders(""), "noid").starts_with("HTTP/1.1 400"));
+    BOOST_TEST(server.connections == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_used_for_a_request_with_two_ids)
+{
+    KeptConnectionNode node("");
+    const std::string answer = node.sendRequest(bookingWithHeaders("X-Request-Id: r1\r\nX-Request-Id: r7\r\n"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 400"));
+    BOOST_TEST(node.servers[0]->targets.size() + node.servers[1]->targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(bytes_that_are_no_answer)
 
 /// More than any answer of the users' servers; a node has 160 MB of memory.
