Open a new connection for calls whose answer counts

Seen: answers to orders and reports have no id. A late answer to the call before on a kept connection was taken for the answer to the next one: an order that the engine had declined (409) counted as accepted (202).

Evidence, before the change: backend_call/is_not_answered_by_a_late_answer_to_an_earlier_call: 202 in place of 409.

Calls that free KV memory ignore their answer and still use kept connections.

--- a/include/apricotarch/transport/backend_call.h
+++ b/include/apricotarch/transport/backend_call.h
@@ -2,7 +2,7 @@
 
 /**
  * @file
- * A single control call to a backend server, such as an order or a report request, on a pooled connection.
+ * A single control call to a backend server, such as an order or a report request, on a connection of the pool.
  */
 
 #include <string>
@@ -18,7 +18,7 @@
     ReplicaId replica;
     Endpoint endpoint;
     std::string message; ///< Encoded HTTP request, head and body.
-    bool requireRecentlyUsed = true; ///< Reuses only a recently used connection, since the call cannot be repeated.
+    bool usesAnswer = true; ///< Opens a new connection: on a kept one, a late answer to an earlier call could be taken for this one's.
     Duration timeout; ///< For connecting, and for the call as a whole.
 };
 
--- a/src/transport/backend_call.cpp
+++ b/src/transport/backend_call.cpp
@@ -12,7 +12,7 @@
     const auto executor = co_await asio::this_coro::executor;
     AsyncEvent changeEvent(executor);
     const BackendConnection::Pointer connection =
-        pool.acquire(executor, call.replica, call.endpoint, call.requireRecentlyUsed ? ConnectionReuse::RecentlyUsed : ConnectionReuse::Any, clock.now());
+        pool.acquire(executor, call.replica, call.endpoint, call.usesAnswer ? ConnectionReuse::None : ConnectionReuse::Any, clock.now());
     const TimePoint deadline = clock.now() + call.timeout;
     // Informational (1xx) answers precede the final one.
     const auto isFinalAnswer = [](const AnswerHead &head) {
