Promise that a request has not run only if its server states so

Callers: a server's 503, 429 or 408 without the statement that it had not executed the request was passed on for requests that must not run twice. These statuses promise that the request has not run, so callers sent it again.

Cause: such an answer counted as the server's answer and was delivered unchanged.

Evidence, before the change: request_forwarder/a_refusal_that_does_not_state_that_the_request_has_not_run: 503, 429 and 408 in place of 502.

Change: for requests that must not run twice it counts as a broken answer, and the caller gets 502. Requests that may be repeated still get the server's answer.

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -90,6 +90,8 @@
         BackendPointer backend, AttemptOptions options, std::int64_t tokensToPrefill, Duration answerTimeout);
     [[nodiscard]] asio::awaitable<Attempt> awaitResponse(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt handleResponse(ActiveAttempt &activeAttempt);
+    /// Returns why a complete response cannot be used; nullptr if it can.
+    [[nodiscard]] const char *findFault(const ActiveAttempt &activeAttempt, const BackendAnswer &answer, bool endsWithoutEvent) const;
     [[nodiscard]] Attempt handleConnectionLoss(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt abandonAttempt(ActiveAttempt &activeAttempt);
     /// Returns the time from which a prefill without an answer may be lost.
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -44,6 +44,12 @@
 /// Lowest priority that servers support; 0 is the most urgent.
 constexpr int LowestPriority = 9;
 
+/// Whether callers take a status for the promise that the request has not run and will not run.
+bool promisesNotExecuted(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 /// State of one attempt at one server. Counts the request in this node's load on the server until destruction.
@@ -300,22 +306,14 @@
         activeAttempt.backend->recordFailure(now);
         return attempt;
     }
-    const bool endsWithinEvent = activeAttempt.relaysEvents && !m_eventSplitter.isBetweenEvents();
-    const bool isUnverified =
-        attempt.answer.success() && !activeAttempt.prefillOnly && (!attempt.answer.isSigned || !attempt.answer.request);
-    if (endsWithinEvent || endsWithoutEvent || isUnverified) {
+    if (const char *fault = findFault(activeAttempt, attempt.answer, endsWithoutEvent)) {
         m_mayHaveExecuted = true;
         if (endsWithoutEvent) {
             recordPossibleCrash(activeAttempt);
         }
         attempt.result = AttemptResult::Broken;
-        attempt.error = Error{ErrorId::MalformedMessage,
-            "backend.read",
-            activeAttempt.backend->record.address.text(),
-            isUnverified          ? "the response lacks a signature or a request id"
-                : endsWithinEvent ? "the stream ends within an event"
-                                  : "the stream ends with its connection before the first event",
-            Delivery::MaybeSent};
+        attempt.error =
+            Error{ErrorId::MalformedMessage, "backend.read", activeAttempt.backend->record.address.text(), fault, Delivery::MaybeSent};
         return attempt;
     }
     m_mayHaveExecuted = true;
@@ -333,6 +331,24 @@
     return attempt;
 }
 
+const char *RequestForwarder::findFault(const ActiveAttempt &activeAttempt, const BackendAnswer &answer, bool endsWithoutEvent) const
+{
+    if (answer.success() && !activeAttempt.prefillOnly && (!answer.isSigned || !answer.request)) {
+        return "the response lacks a signature or a request id";
+    }
+    if (activeAttempt.relaysEvents && !m_eventSplitter.isBetweenEvents()) {
+        return "the stream ends within an event";
+    }
+    if (endsWithoutEvent) {
+        return "the stream ends with its connection before the first event";
+    }
+    const bool mayBeRepeated = m_route->idempotent() || activeAttempt.prefillOnly;
+    if (promisesNotExecuted(answer.status) && !answer.notExecuted && !mayBeRepeated) {
+        return "the status promises that the request has not run, but the response does not state it";
+    }
+    return nullptr;
+}
+
 RequestForwarder::Attempt RequestForwarder::handleConnectionLoss(ActiveAttempt &activeAttempt)
 {
     const TimePoint now = m_state.clock.now();
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -531,6 +531,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_refusal_that_does_not_state_that_the_request_has_not_run)
+
+BOOST_AUTO_TEST_CASE(is_no_promise_to_the_caller_of_a_booking)
+{
+    for (const char *status : {"503", "429", "408"}) {
+        TestNode node;
+        const auto refuse = [status](const RequestHead &head, const std::string &) {
+            return ScriptedAnswer{"HTTP/1.1 " + std::string(status) + " Busy\r\nX-Request-Id: "
+                + std::string(head.headers.value("X-Request-Id")) + "\r\nX-Response-Seal: s\r\nContent-Length: 4\r\n\r\nbusy"};
+        };
+        node.addServer("a", refuse);
+        node.addServer("b", refuse);
+        BOOST_TEST(node.sendRequest(BookingRequest).starts_with("HTTP/1.1 502"));
+        BOOST_TEST(node.servers[0]->targets.size() + node.servers[1]->targets.size() == 1U);
+        BOOST_TEST(node.sendRequest(ViewRequest, "busy").starts_with("HTTP/1.1 " + std::string(status)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(bytes_that_are_no_answer)
 
 /// More than any answer of the users' servers; a node has 160 MB of memory.
