Pass on only events that continue the stream

Callers: in the middle of a stream that had been continued at a second server they found the text of its error, or the head of a second answer; streams with missing events, and streams whose next server had sent no event at all, looked complete.

Cause: whatever ended in an empty line was relayed as an event, at the first server as well as at the next one. Whether the next server's events have ids that follow, and whether its answer is a stream, was not checked. An end of the connection without an event counted as the end of the stream if an earlier server had sent some. A 4xx ended the request although another server could be tried.

Evidence, before the change: request_forwarder/a_stream_that_has_begun_and_broke_off and a_stream_of_one_server: relayed were a text with empty lines, a head, events without or with unreadable ids, and a later event; as complete ended these and an answer without a body, one without content, and one that ended with its connection.

Ruled out: refusals, server errors and callers' errors of the next server, events without a signature, and a reset. None of their bytes reached callers; the cases pass before the change, apart from the third server that is now tried after a 4xx. The cases fail if an error of the next server ends the stream, and if events without a signature are relayed; that of a reset, if a reset ends an answer (an_answer_with_neither_length_nor_chunks).

Change: an event consists of the lines of text/event-stream or of the platform's version line, with at most one id. In a stream that continues another one, at any server or after a caller's last event, events have ids, and the first new one follows directly if the ids left no gap before. Anything else breaks the attempt: another server is tried if allowed, or the caller's connection is closed. Without an event, only the proper end of an event stream is the end of the stream. Events that a server repeats are dropped as before.

Not covered: additional bytes after an answer that is no stream and ends with its connection cannot be told from its body.

--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -95,7 +95,7 @@
     [[nodiscard]] bool endExchange();
 
     /// Fails the exchange, since the answer is unusable. @param detail the reason, for the log
-    void fail(const std::string &detail);
+    void fail(ErrorId id, const std::string &detail);
 
     /// Closes the connection immediately, which makes the server abort the request.
     void close();
--- a/include/apricotarch/transport/backend_protocol_adapter.h
+++ b/include/apricotarch/transport/backend_protocol_adapter.h
@@ -108,6 +108,9 @@
     /// Decodes the head of a backend server's answer.
     [[nodiscard]] virtual BackendAnswer decodeAnswer(int status, std::string reason, const HttpHeaders &headers) const = 0;
 
+    /// Names of the fields that an event of a stream may have beside those of text/event-stream.
+    [[nodiscard]] virtual std::vector<std::string> eventFields() const = 0;
+
     /// Decodes the body of a prefill's answer. @return the receipt, MalformedMessage or InvalidField
     [[nodiscard]] virtual Result<PrefillReceipt> decodePrefill(const std::string &body, const std::string &peer) const = 0;
 
--- a/include/apricotarch/transport/event_splitter.h
+++ b/include/apricotarch/transport/event_splitter.h
@@ -2,39 +2,56 @@
 
 /**
  * @file
- * Splits an event stream into complete events, so that another engine can resume the stream after the last one.
+ * Splits an event stream into complete events and checks them, so that another engine can resume the stream after the last one.
  */
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "apricotarch/base/error.h"
 
 namespace apricotarch
 {
 
+/// Why a stream has to be given up.
+struct StreamFault
+{
+    ErrorId error;
+    const char *detail;
+};
+
 /// Receives the bytes of a text/event-stream and returns those of complete events.
 class EventSplitter
 {
 public:
+    /// @param extraFields names of the fields that an event may have beside those of the standard
+    explicit EventSplitter(std::vector<std::string> extraFields = {});
+
     /// Starts reading a new or resumed stream. Discards the incomplete event at the end of the previous one.
     void startStream();
 
+    /// Sets the last event that the caller already has. Streams have to continue after it.
+    void resumeAfter(std::uint64_t lastId);
+
     /// Whether the bytes received so far end with a complete event.
     [[nodiscard]] bool isBetweenEvents() const noexcept
     {
         return m_incompleteEvent.empty();
     }
 
-    /// Whether the incomplete event at the end is larger than any event may be. The stream is then to be given up.
-    [[nodiscard]] bool isOversized() const noexcept
+    /// Set if the stream has to be given up. No further events are returned then.
+    [[nodiscard]] const std::optional<StreamFault> &fault() const noexcept
     {
-        return m_incompleteEvent.size() > MaxEventBytes;
+        return m_fault;
     }
 
     /**
      * Appends bytes of the stream.
-     * @return the events that these bytes complete, without those whose ids an earlier stream has already delivered
+     * @return the events that these bytes complete, without those whose ids an earlier stream has already delivered, up to the first
+     * one that is not well-formed or does not continue the stream
      */
     [[nodiscard]] std::string append(std::string_view bytes);
 
@@ -53,11 +70,27 @@
 private:
     static constexpr std::size_t MaxEventBytes = 1024UL * 1024;
 
-    [[nodiscard]] bool isRepeated(std::string_view event);
+    /// What is done with an event.
+    enum class Verdict : std::uint8_t {
+        Return,
+        Drop, ///< The caller already has the event.
+        Reject, ///< The stream has to be given up.
+    };
+
+    [[nodiscard]] bool isFieldName(std::string_view name) const;
+    [[nodiscard]] bool isWellFormed(std::string_view event) const;
+    [[nodiscard]] Verdict check(std::string_view event);
+    [[nodiscard]] Verdict checkId(std::optional<std::uint64_t> id);
+    [[nodiscard]] Verdict reject(const char *detail);
 
+    std::vector<std::string> m_extraFields;
     std::string m_incompleteEvent;
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_count = 0;
+    bool m_resuming = false; ///< The next event has to follow the last one of an earlier stream.
+    bool m_resumed = false; ///< The current stream continues an earlier one.
+    bool m_idsConsecutive = true; ///< The ids of the events so far leave no gap.
+    std::optional<StreamFault> m_fault;
 };
 
 } // namespace apricotarch
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -47,6 +47,7 @@
     , m_request(std::move(request))
     , m_plan(state.plan)
     , m_response(caller, options, state.shuttingDown, m_request.method == "HEAD")
+    , m_eventSplitter(state.protocolAdapter.eventFields())
 {
     ++m_state.activeRequests;
     m_state.bufferedBodyBytes += m_request.body.size();
@@ -79,6 +80,9 @@
         refuse(RefusalReason::NoRoute);
         return true;
     }
+    if (m_route->resumable && m_request.lastEventId) {
+        m_eventSplitter.resumeAfter(*m_request.lastEventId);
+    }
     m_serviceId = chooseService();
     m_service = m_plan->service(m_serviceId);
     m_contentHash = contentHash(m_request.host + m_request.target + '\n' + m_request.body);
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -255,8 +255,8 @@
     const std::uint64_t eventsBefore = m_eventSplitter.count();
     const std::string events = m_eventSplitter.append(activeAttempt.connection->body());
     activeAttempt.connection->body().clear();
-    if (m_eventSplitter.isOversized()) {
-        activeAttempt.connection->fail("an event of the stream is too large");
+    if (const std::optional<StreamFault> &fault = m_eventSplitter.fault()) {
+        activeAttempt.connection->fail(fault->error, fault->detail);
     }
     if (events.empty()) {
         return; // Bytes that complete no event are no progress.
@@ -296,7 +296,7 @@
     attempt.body = std::move(activeAttempt.connection->body());
     // The end of the connection is the only sign of the answer's end then, and an engine that crashes ends its connections too.
     const bool endsWithoutEvent =
-        activeAttempt.relaysEvents && activeAttempt.connection->head().endsWithConnection && !m_response.streamStarted();
+        activeAttempt.relaysEvents && activeAttempt.connection->head().endsWithConnection && !activeAttempt.firstEventAt;
     if (activeAttempt.connection->endExchange()) {
         m_state.backendPool.release(activeAttempt.connection, now);
     }
@@ -342,6 +342,13 @@
     if (endsWithoutEvent) {
         return "the stream ends with its connection before the first event";
     }
+    const bool continuesStream = m_response.streamStarted() && !activeAttempt.prefillOnly;
+    if (continuesStream && answer.success() && !activeAttempt.firstEventAt && !answer.isEventStream) {
+        return "the response does not continue the stream";
+    }
+    if (continuesStream && !answer.success() && answer.status < 500) {
+        return "the server has answered the rest of the stream with an error";
+    }
     const bool mayBeRepeated = m_route->idempotent() || activeAttempt.prefillOnly;
     if (promisesNotExecuted(answer.status) && !answer.notExecuted && !mayBeRepeated) {
         return "the status promises that the request has not run, but the response does not state it";
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -222,9 +222,9 @@
     return true;
 }
 
-void BackendConnection::fail(const std::string &detail)
+void BackendConnection::fail(ErrorId id, const std::string &detail)
 {
-    failExchange(ErrorId::MessageTooLarge, "backend.read", detail);
+    failExchange(id, "backend.read", detail);
 }
 
 void BackendConnection::close()
--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -230,6 +230,43 @@
     BOOST_TEST(splitter.count() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(may_have_fields_of_the_platform_and_comments)
+{
+    EventSplitter splitter(platform::ProtocolAdapter().eventFields());
+    const std::string events = "x-weight-versions: 7\nid: 1\ndata: a\n\n: comment\n\nevent: e\nretry: 3\ndata\nid:2\n\n";
+    BOOST_TEST(splitter.append(events) == events);
+    BOOST_TEST(!splitter.fault().has_value());
+    BOOST_TEST(splitter.lastId().value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(end_with_the_first_bytes_that_are_no_event)
+{
+    for (const char *bytes : {"HTTP/1.1 503 Full\r\n\r\n",
+             "{\"error\":1}\n\n",
+             "id: 2\nContent-Length: 3\n\n",
+             "id: 2\ndata: a\nid: 3\ndata: b\n\n",
+             "X-Weight-Versions: 7\n\n"}) {
+        EventSplitter splitter(platform::ProtocolAdapter().eventFields());
+        BOOST_TEST(splitter.append("id: 1\ndata: a\n\n" + std::string(bytes) + "id: 4\n\n") == "id: 1\ndata: a\n\n");
+        BOOST_TEST(splitter.fault().has_value());
+        BOOST_TEST(splitter.append("id: 5\n\n").empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(that_are_resumed_may_leave_gaps_between_ids_only_if_the_ids_did_before)
+{
+    EventSplitter consecutive;
+    (void)consecutive.append("id: 4\n\nid: 5\n\n");
+    consecutive.startStream();
+    BOOST_TEST(consecutive.append("id: 7\n\n").empty());
+    BOOST_TEST(consecutive.fault().has_value());
+    EventSplitter sparse;
+    (void)sparse.append("id: 4\n\nid: 8\n\n");
+    sparse.startStream();
+    BOOST_TEST(sparse.append("id: 12\n\n") == "id: 12\n\n");
+    BOOST_TEST(!sparse.fault().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(that_are_resumed_return_no_repeated_and_no_incomplete_event)
 {
     EventSplitter splitter;
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -86,11 +86,13 @@
         services[1].engine = EngineSpec{64, 491'264, 327'680, 3'200'000};
         Route longPrompts = makeRoute("/long/", RouteKind::Streaming, 2, true);
         longPrompts.services = {{ServiceId("engines"), 1}};
+        Route notes = makeRoute("/note/", RouteKind::Streaming, 3, true);
         state.plan = std::make_shared<RoutingPlan>(1,
             std::vector<Route>{makeRoute("/book/", RouteKind::Unsafe, 2, false),
                 makeRoute("/view/", RouteKind::Safe, 2, false),
                 makeRoute("/plan/", RouteKind::Streaming, 2, true),
                 makeRoute("/check/", RouteKind::Streaming, 1, false),
+                std::move(notes),
                 std::move(longPrompts)},
             std::move(services),
             limits);
@@ -551,6 +553,232 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_stream_that_has_begun_and_broke_off)
+
+const std::string NoteRequest =
+    "POST /note/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r6\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
+
+const std::string StreamEnd = "0\r\n\r\n";
+
+/// Answer of a server with its request's id. @param rest further headers, an empty line and the body
+std::string headWith(const RequestHead &head, const std::string &status, const std::string &rest)
+{
+    return "HTTP/1.1 " + status + "\r\nX-Request-Id: " + std::string(head.headers.value("X-Request-Id")) + "\r\n" + rest;
+}
+
+using Continuation = std::function<ScriptedAnswer(const RequestHead &)>;
+
+/// Sends a request for a stream that breaks off after two events. @return the answer if each next server answers with the next of
+/// @p continuations
+std::string continueWith(const std::string &request, std::vector<Continuation> continuations)
+{
+    TestNode node;
+    std::size_t calls = 0;
+    for (const char *id : {"a", "b", "c"}) {
+        node.addServer(id, [&](const RequestHead &head, const std::string &) {
+            if (++calls == 1) {
+                return ScriptedAnswer{streamHead(head) + chunk(event(1) + event(2)), true};
+            }
+            return continuations.at(calls - 2)(head);
+        });
+    }
+    return node.sendRequest(request, StreamEnd);
+}
+
+/// Body of the answer's chunks.
+std::string relayedBytes(const std::string &answer)
+{
+    std::string bytes;
+    std::size_t at = answer.find("\r\n\r\n") + 4;
+    while (at < answer.size()) {
+        const std::size_t size = std::stoul(answer.substr(at), nullptr, 16);
+        at = answer.find("\r\n", at) + 2;
+        bytes += answer.substr(at, size);
+        at += size + 2;
+    }
+    return bytes;
+}
+
+const std::string ErrorText = "service unavailable\n\nsee id: 3\n\n";
+
+std::string withLength(const std::string &body)
+{
+    return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Answers of a next server that do not continue the stream.
+const std::vector<std::pair<const char *, Continuation>> BadContinuations = {
+    {"a refusal",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "503 Full", "X-Not-Executed: 1\r\n" + withLength(ErrorText))};
+        }},
+    {"a signed server error",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "500 Oops", "X-Response-Seal: s\r\n" + withLength(ErrorText))};
+        }},
+    {"a signed caller error",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "404 Gone", "X-Response-Seal: s\r\n" + withLength(ErrorText))};
+        }},
+    {"a signed text with empty lines",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "200 OK", "X-Response-Seal: s\r\n" + withLength(ErrorText))};
+        }},
+    {"a text in chunks of a stream",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{streamHead(head) + chunk(ErrorText) + StreamEnd};
+        }},
+    {"a head in chunks of a stream",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{streamHead(head) + chunk("HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull") + StreamEnd};
+        }},
+    {"events without a signature",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "200 OK", "Content-Type: text/event-stream\r\n" + withLength(event(3)))};
+        }},
+    {"events without ids",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{streamHead(head) + chunk("data: x\n\ndata: y\n\n") + StreamEnd};
+        }},
+    {"events with ids that are no numbers",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{streamHead(head) + chunk("id: x3\ndata: x\n\n") + chunk("id: 99999999999999999999\n\n") + StreamEnd};
+        }},
+    {"a later event",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{streamHead(head) + chunk(event(4)) + chunk(event(5)) + StreamEnd};
+        }},
+    {"no event of an answer that is no stream",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "200 OK", "X-Response-Seal: s\r\n" + withLength(""))};
+        }},
+    {"no content",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "204 None", "X-Response-Seal: s\r\n\r\n")};
+        }},
+    {"the end of the connection before an event",
+        [](const RequestHead &head) {
+            ScriptedAnswer answer{headWith(head, "200 OK", "Content-Type: text/event-stream\r\nX-Response-Seal: s\r\n\r\n")};
+            answer.endsConnection = true;
+            return answer;
+        }},
+    {"a reset",
+        [](const RequestHead &head) {
+            return ScriptedAnswer{headWith(head, "200 OK", "Content-Type: text/event-stream\r\nX-Response-Seal: s\r\n\r\n"), true};
+        }},
+};
+
+ScriptedAnswer continueProperly(const RequestHead &head)
+{
+    return ScriptedAnswer{streamHead(head) + chunk("x-weight-versions: 7\n" + event(3)) + chunk(event(4)) + StreamEnd};
+}
+
+BOOST_AUTO_TEST_CASE(never_gets_bytes_of_an_answer_that_does_not_continue_it)
+{
+    // Texts of errors reached callers in the middle of their streams, and streams looked complete that were not.
+    for (const auto &[name, continuation] : BadContinuations) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            const std::string answer = continueWith(PlanRequest, {continuation});
+            BOOST_TEST(!answer.ends_with(StreamEnd));
+            BOOST_TEST(relayedBytes(answer) == event(1) + event(2));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_continued_at_a_third_server_if_the_second_does_not_continue_it)
+{
+    for (const auto &[name, continuation] : BadContinuations) {
+        BOOST_TEST_CONTEXT(name)
+        {
+            const std::string answer = continueWith(NoteRequest, {continuation, continueProperly});
+            BOOST_TEST(answer.ends_with(StreamEnd));
+            BOOST_TEST(relayedBytes(answer) == event(1) + event(2) + "x-weight-versions: 7\n" + event(3) + event(4));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(does_not_get_the_bytes_that_follow_the_events_of_its_next_server)
+{
+    const auto unframed = [](const RequestHead &head) {
+        ScriptedAnswer answer{headWith(head,
+            "200 OK",
+            "Content-Type: text/event-stream\r\nX-Response-Seal: s\r\n\r\n" + event(3) + "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                + withLength(ErrorText))};
+        answer.endsConnection = true;
+        return answer;
+    };
+    const std::string answer = continueWith(PlanRequest, {unframed});
+    BOOST_TEST(!answer.ends_with(StreamEnd));
+    BOOST_TEST(relayedBytes(answer) == event(1) + event(2) + event(3));
+}
+
+BOOST_AUTO_TEST_CASE(may_end_at_its_next_server_without_another_event)
+{
+    // Only the end of the stream was lost.
+    const std::string answer = continueWith(PlanRequest, {[](const RequestHead &head) {
+        return ScriptedAnswer{streamHead(head) + StreamEnd};
+    }});
+    BOOST_TEST(answer.ends_with(StreamEnd));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_stream_of_one_server)
+
+/// Sends a request to a server that answers with these bytes and then closes the connection normally.
+/// @param later sent again and again after the others, if not empty; the connection is not closed then
+std::string streamOf(const std::string &request, const std::string &body, const std::string &later = "")
+{
+    TestNode node;
+    node.addServer("a", [&](const RequestHead &head, const std::string &) {
+        ScriptedAnswer answer{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: "
+            + std::string(head.headers.value("X-Request-Id")) + "\r\nX-Response-Seal: s\r\n\r\n" + body};
+        answer.endsConnection = later.empty();
+        answer.repeated = later;
+        answer.pause = 20ms;
+        answer.delay = 10ms;
+        return answer;
+    });
+    return node.sendRequest(request, "0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(does_not_contain_the_head_of_an_answer_that_follows_it)
+{
+    for (const char *lineEnd : {"\r\n", "\n"}) {
+        const std::string second = "HTTP/1.1 503 Full" + std::string(lineEnd) + "Content-Length: 4" + lineEnd + lineEnd + "full";
+        for (const std::string &cut : {std::string(), std::string("id: 2\ndata: ab")}) {
+            const std::string answer = streamOf(CheckRequest, event(1), cut + second);
+            BOOST_TEST(answer.find(event(1)) != std::string::npos);
+            BOOST_TEST(answer.find("503 Full") == std::string::npos);
+            BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+            const std::string atOnce = streamOf(CheckRequest, event(1) + cut + second);
+            BOOST_TEST(atOnce.find("503 Full") == std::string::npos);
+            BOOST_TEST(!atOnce.ends_with("0\r\n\r\n"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(does_not_contain_two_events_that_lost_bytes_have_joined)
+{
+    const std::string answer = streamOf(CheckRequest, event(1) + "id: 2\ndata: ab\nid: 3\ndata: x\n\n");
+    BOOST_TEST(answer.find("data: ab") == std::string::npos);
+    BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(that_a_caller_resumes_contains_only_events_after_its_last_one)
+{
+    std::string request = PlanRequest;
+    request.insert(request.find("X-Deadline-Ms"), "Last-Event-Id: 2\r\n");
+    const std::string answer = streamOf(request, event(1) + event(2) + event(3));
+    BOOST_TEST(answer.find(event(1)) == std::string::npos);
+    BOOST_TEST(answer.find(event(2)) == std::string::npos);
+    BOOST_TEST(answer.find(event(3)) != std::string::npos);
+    BOOST_TEST(streamOf(request, event(4)).find(event(4)) == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(bytes_that_are_no_answer)
 
 /// More than any answer of the users' servers; a node has 160 MB of memory.
@@ -756,6 +984,29 @@
     BOOST_TEST(losing.targets.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(whose_stream_breaks_off_is_prefilled_again_and_continued)
+{
+    // The receipt of a prefill is no event, but it does not end the stream.
+    TestNode node;
+    for (const char *id : {"prefill-1", "prefill-2"}) {
+        node.addEngine(id, EngineStage::Prefill, [](const RequestHead &head, const std::string &) {
+            return ScriptedAnswer{fullResponse(head, R"({"kvHandle":"h1","tokens":17000,"version":1})")};
+        });
+    }
+    int streams = 0;
+    for (const char *id : {"decode-1", "decode-2"}) {
+        node.addEngine(id, EngineStage::Decode, [&streams](const RequestHead &head, const std::string &) {
+            return ++streams == 1 ? ScriptedAnswer{streamHead(head) + chunk(event(1)), true}
+                                  : ScriptedAnswer{streamHead(head) + chunk(event(2)) + "0\r\n\r\n"};
+        });
+    }
+    const std::string answer = node.sendRequest(LongPromptRequest, "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(1)) != std::string::npos);
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(node.servers[0]->targets.size() + node.servers[1]->targets.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(whose_prefill_takes_long_is_not_sent_twice)
 {
     // Nothing speaks for a loss: the engine has answered no later prefill.
