Tell a reset from the end of an answer while the request is still being written

Callers: an answer with neither length nor chunks that was cut by a reset was passed on as complete if the server had begun it before it had read the whole request.

Cause: the system reports a reset once. The pending write got it, and the read that followed got the end of the stream, which is the end of such an answer.

Evidence, before the change: backend_connection/an_early_answer_that_ends_with_its_connection/ is_not_complete_if_the_reset_of_the_connection_is_reported_to_the_pending_write: the exchange was complete.

Change: after a failed write, the end of the stream does not complete an answer.

--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -183,6 +183,7 @@
     bool m_broken = false; ///< The connection must not be reused.
     bool m_reading = false;
     bool m_writing = false;
+    bool m_writeFailed = false;
     bool m_maybeSent = false;
 };
 
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -104,9 +104,10 @@
     m_writing = true;
     asio::async_write(m_socket, asio::buffer(m_message), [self = Pointer(this)](const ErrorCode &code, std::size_t) {
         self->m_writing = false;
-        if (code && self->m_phase == ExchangePhase::Waiting) {
+        if (code) {
             // An answer that the server sent before the connection failed can still be read.
             self->m_broken = true;
+            self->m_writeFailed = true;
         }
     });
     if (!m_reading) {
@@ -128,7 +129,9 @@
         if (!exchanging) {
             return;
         }
-        if (code == asio::error::eof && !self->m_skipping && self->m_parser->handleEndOfStream()) {
+        // After a failed write, the end of the stream may be that of a reset connection, which the system reports only once.
+        const bool isEndOfAnswer = code == asio::error::eof && !self->m_writeFailed && !self->m_skipping;
+        if (isEndOfAnswer && self->m_parser->handleEndOfStream()) {
             self->m_phase = ExchangePhase::Complete;
             self->notifyWaiter();
             return;
