Reset the connection of a caller without chunks whose stream is cut

Callers with HTTP/1.0: the end of the connection is the end of their answer, so a stream that was cut looked complete.

Cause: the connection was closed normally, as for callers with chunks, whose answer then lacks the last chunk.

Evidence, before the change: request_forwarder/a_stream_that_has_begun_and_broke_off/ does_not_look_complete_to_a_caller_whose_answer_ends_with_its_connection: end of file in place of a reset.

Result: the test passes.

--- a/include/apricotarch/transport/caller_connection.h
+++ b/include/apricotarch/transport/caller_connection.h
@@ -70,6 +70,9 @@
     /// Closes the connection immediately; queued bytes are discarded.
     void close();
 
+    /// Closes the connection like close(), in a way that the caller sees as an error.
+    void reset();
+
     /// Executor of the event loop that serves the connection.
     [[nodiscard]] asio::any_io_executor executor()
     {
--- a/src/app/caller_response_writer.cpp
+++ b/src/app/caller_response_writer.cpp
@@ -121,7 +121,11 @@
 void CallerResponseWriter::abort()
 {
     disableReuse();
-    m_caller.close();
+    if (m_options.acceptsChunked) {
+        m_caller.close();
+    } else {
+        m_caller.reset(); // A normal end of the connection would mark the end of the response.
+    }
 }
 
 } // namespace apricotarch
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -87,6 +87,13 @@
     }
 }
 
+void CallerConnection::reset()
+{
+    ErrorCode ignored; // Fails if the caller has already closed the connection.
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void CallerConnection::close()
 {
     m_closed = true;
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -722,6 +722,34 @@
     BOOST_TEST(answer.ends_with(StreamEnd));
 }
 
+BOOST_AUTO_TEST_CASE(does_not_look_complete_to_a_caller_whose_answer_ends_with_its_connection)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)), true};
+    });
+    tcp::socket caller = node.connectCaller();
+    std::string request = CheckRequest;
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    boost::asio::write(caller, boost::asio::buffer(request));
+    boost::system::error_code end;
+    std::string answer;
+    std::array<char, 4096> bytes{};
+    std::function<void()> read = [&] {
+        caller.async_read_some(boost::asio::buffer(bytes), [&](const boost::system::error_code &code, std::size_t size) {
+            answer.append(bytes.data(), size);
+            end = code;
+            if (!code) {
+                read();
+            }
+        });
+    };
+    read();
+    node.runFor(500ms);
+    BOOST_TEST(answer.find(event(1)) != std::string::npos);
+    BOOST_TEST(end == boost::asio::error::connection_reset);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_stream_of_one_server)
