--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -92,6 +92,8 @@
         BackendPointer backend, AttemptOptions options, std::int64_t tokensToPrefill, Duration answerTimeout);
     [[nodiscard]] asio::awaitable<Attempt> awaitResponse(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt handleResponse(ActiveAttempt &activeAttempt);
+    /// Returns why a complete response cannot be used; nullptr if it can.
+    [[nodiscard]] const char *findFault(const ActiveAttempt &activeAttempt, const BackendAnswer &answer, bool endsWithoutEvent) const;
     [[nodiscard]] Attempt handleConnectionLoss(ActiveAttempt &activeAttempt);
     [[nodiscard]] Attempt abandonAttempt(ActiveAttempt &activeAttempt);
     /// Takes a retry from the budget if another server can take over the request from a silent one now. Otherwise the silent server keeps
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -47,6 +47,12 @@
 /// Lowest priority that servers support; 0 is the most urgent.
 constexpr int LowestPriority = 9;
 
+/// Whether callers take a status for the promise that the request has not run and will not run.
+bool promisesNotExecuted(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 /// State of one attempt at one server. Counts the request in this node's load on the server until destruction.
@@ -125,13 +131,22 @@
         m_eventSplitter.startStream();
         m_state.crashTracker.recordStart(backend->record.id, m_contentHash);
     }
-    const auto belongsToRequest = [this](const AnswerHead &head) {
+    const ConnectionReuse reuse = m_request.id.empty() ? ConnectionReuse::None
+        : m_route->idempotent() || options.prefillOnly ? ConnectionReuse::Any
+                                                       : ConnectionReuse::RecentlyUsed;
+    activeAttempt.connection = m_state.backendPool.acquire(
+        co_await asio::this_coro::executor, backend->record.id, backend->record.address, reuse, now, m_request.id);
+    const auto belongsToRequest = [this, &connection = *activeAttempt.connection](const AnswerHead &head) {
+        if (head.status < 200) {
+            return false; // Informational answers precede the final one.
+        }
         const BackendAnswer answer = m_state.protocolAdapter.decodeAnswer(head.status, head.reason, head.headers);
-        return head.status >= 200 && (answer.request ? *answer.request == m_request.id : !answer.success());
+        if (answer.request) {
+            return *answer.request == m_request.id;
+        }
+        // Without an id, it may answer an earlier request on the connection.
+        return !answer.success() && connection.isFirstExchange();
     };
-    const bool needsRecentConnection = !m_route->idempotent() && !options.prefillOnly;
-    activeAttempt.connection = m_state.backendPool.acquire(
-        co_await asio::this_coro::executor, backend->record.id, backend->record.address, needsRecentConnection, now);
     activeAttempt.connection->startExchange(m_state.protocolAdapter.encodeRequest(m_request, options),
         m_request.method == "HEAD",
         belongsToRequest,
@@ -267,8 +282,8 @@
     const std::uint64_t eventsBefore = m_eventSplitter.count();
     const std::string events = m_eventSplitter.append(activeAttempt.connection->body());
     activeAttempt.connection->body().clear();
-    if (m_eventSplitter.isOversized()) {
-        activeAttempt.connection->fail("an event of the stream is too large");
+    if (const std::optional<StreamFault> &fault = m_eventSplitter.fault()) {
+        activeAttempt.connection->fail(fault->error, fault->detail);
     }
     if (events.empty()) {
         return; // Bytes that complete no event are no progress.
@@ -309,7 +324,7 @@
     attempt.body = std::move(activeAttempt.connection->body());
     // The end of the connection is the only sign of the answer's end then, and an engine that crashes ends its connections too.
     const bool endsWithoutEvent =
-        activeAttempt.relaysEvents && activeAttempt.connection->head().endsWithConnection && !m_response.streamStarted();
+        activeAttempt.relaysEvents && activeAttempt.connection->head().endsWithConnection && !activeAttempt.firstEventAt;
     if (activeAttempt.connection->endExchange()) {
         m_state.backendPool.release(activeAttempt.connection, now);
     }
@@ -319,22 +334,14 @@
         activeAttempt.backend->recordFailure(now);
         return attempt;
     }
-    const bool endsWithinEvent = activeAttempt.relaysEvents && !m_eventSplitter.isBetweenEvents();
-    const bool isUnverified =
-        attempt.answer.success() && !activeAttempt.prefillOnly && (!attempt.answer.isSigned || !attempt.answer.request);
-    if (endsWithinEvent || endsWithoutEvent || isUnverified) {
+    if (const char *fault = findFault(activeAttempt, attempt.answer, endsWithoutEvent)) {
         m_mayHaveExecuted = true;
         if (endsWithoutEvent) {
             recordPossibleCrash(activeAttempt);
         }
         attempt.result = AttemptResult::Broken;
-        attempt.error = Error{ErrorId::MalformedMessage,
-            "backend.read",
-            activeAttempt.backend->record.address.text(),
-            isUnverified          ? "the response lacks a signature or a request id"
-                : endsWithinEvent ? "the stream ends within an event"
-                                  : "the stream ends with its connection before the first event",
-            Delivery::MaybeSent};
+        attempt.error =
+            Error{ErrorId::MalformedMessage, "backend.read", activeAttempt.backend->record.address.text(), fault, Delivery::MaybeSent};
         return attempt;
     }
     m_mayHaveExecuted = true;
@@ -352,6 +359,31 @@
     return attempt;
 }
 
+const char *RequestForwarder::findFault(const ActiveAttempt &activeAttempt, const BackendAnswer &answer, bool endsWithoutEvent) const
+{
+    if (answer.success() && !activeAttempt.prefillOnly && (!answer.isSigned || !answer.request)) {
+        return "the response lacks a signature or a request id";
+    }
+    if (activeAttempt.relaysEvents && !m_eventSplitter.isBetweenEvents()) {
+        return "the stream ends within an event";
+    }
+    if (endsWithoutEvent) {
+        return "the stream ends with its connection before the first event";
+    }
+    const bool continuesStream = m_response.streamStarted() && !activeAttempt.prefillOnly;
+    if (continuesStream && answer.success() && !activeAttempt.firstEventAt && !answer.isEventStream) {
+        return "the response does not continue the stream";
+    }
+    if (continuesStream && !answer.success() && answer.status < 500) {
+        return "the server has answered the rest of the stream with an error";
+    }
+    const bool mayBeRepeated = m_route->idempotent() || activeAttempt.prefillOnly;
+    if (promisesNotExecuted(answer.status) && !answer.notExecuted && !mayBeRepeated) {
+        return "the status promises that the request has not run, but the response does not state it";
+    }
+    return nullptr;
+}
+
 RequestForwarder::Attempt RequestForwarder::handleConnectionLoss(ActiveAttempt &activeAttempt)
 {
     const TimePoint now = m_state.clock.now();
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -49,6 +49,7 @@
     m_changeEvent = &changeEvent;
     m_maybeSent = false;
     m_skippedBytes = 0;
+    ++m_exchanges;
     resetParser();
     if (m_connected) {
         m_phase = ExchangePhase::Waiting;
@@ -103,9 +104,10 @@
     m_writing = true;
     asio::async_write(m_socket, asio::buffer(m_message), [self = Pointer(this)](const ErrorCode &code, std::size_t) {
         self->m_writing = false;
-        if (code && self->m_phase == ExchangePhase::Waiting) {
+        if (code) {
             // An answer that the server sent before the connection failed can still be read.
             self->m_broken = true;
+            self->m_writeFailed = true;
         }
     });
     if (!m_reading) {
@@ -127,7 +129,9 @@
         if (!exchanging) {
             return;
         }
-        if (code == asio::error::eof && !self->m_skipping && self->m_parser->handleEndOfStream()) {
+        // After a failed write, the end of the stream may be that of a reset connection, which the system reports only once.
+        const bool isEndOfAnswer = code == asio::error::eof && !self->m_writeFailed && !self->m_skipping;
+        if (isEndOfAnswer && self->m_parser->handleEndOfStream()) {
             self->m_phase = ExchangePhase::Complete;
             self->notifyWaiter();
             return;
@@ -211,8 +215,8 @@
 bool BackendConnection::endExchange()
 {
     m_changeEvent = nullptr;
-    const bool reusable =
-        m_phase == ExchangePhase::Complete && !m_broken && m_parser->head().keepAlive && !m_parser->head().endsWithConnection;
+    const bool reusable = m_phase == ExchangePhase::Complete && !m_broken && m_parser->head().keepAlive
+        && !m_parser->head().endsWithConnection && m_exchanges < MaxExchanges;
     if (!reusable) {
         close();
         return false;
@@ -221,9 +225,9 @@
     return true;
 }
 
-void BackendConnection::fail(const std::string &detail)
+void BackendConnection::fail(ErrorId id, const std::string &detail)
 {
-    failExchange(ErrorId::MessageTooLarge, "backend.read", detail);
+    failExchange(id, "backend.read", detail);
 }
 
 void BackendConnection::close()
@@ -265,15 +269,34 @@
 {
 }
 
-BackendConnection::Pointer BackendConnectionPool::acquire(
-    const asio::any_io_executor &executor, const ReplicaId &replica, const Endpoint &endpoint, bool requireRecentlyUsed, TimePoint now)
+BackendConnection::Pointer BackendConnectionPool::acquire(const asio::any_io_executor &executor,
+    const ReplicaId &replica,
+    const Endpoint &endpoint,
+    ConnectionReuse reuse,
+    TimePoint now,
+    const RequestId &request)
+{
+    BackendConnection::Pointer connection = takeIdle(replica, endpoint, reuse, now, request);
+    if (!connection) {
+        ++m_opened;
+        connection = new BackendConnection(executor, replica, endpoint);
+    }
+    if (!request.empty()) {
+        connection->recordRequest(request);
+    }
+    return connection;
+}
+
+BackendConnection::Pointer BackendConnectionPool::takeIdle(
+    const ReplicaId &replica, const Endpoint &endpoint, ConnectionReuse reuse, TimePoint now, const RequestId &request)
 {
     auto &idle = m_idle[replica];
-    while (!idle.empty()) {
+    while (!idle.empty() && reuse != ConnectionReuse::None) {
         BackendConnection::Pointer connection = idle.back();
         const Duration idleTime = now - connection->idleSince;
-        if (requireRecentlyUsed && idleTime > MaxFreshIdleTime && connection->isReusable()) {
-            break; // The remaining connections have been idle for longer.
+        const bool tooOld = reuse == ConnectionReuse::RecentlyUsed && idleTime > MaxFreshIdleTime;
+        if (connection->isReusable() && (tooOld || connection->mayHaveCarried(request))) {
+            break; // Of the remaining connections, which have been idle for longer, none is tried.
         }
         idle.pop_back();
         if (connection->isReusable() && connection->endpoint() == endpoint && idleTime < connection->idleTimeout) {
@@ -281,8 +304,7 @@
         }
         connection->close();
     }
-    ++m_opened;
-    return new BackendConnection(executor, replica, endpoint);
+    return nullptr;
 }
 
 void BackendConnectionPool::release(BackendConnection::Pointer connection, TimePoint now)
--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -75,6 +75,33 @@
     BOOST_TEST(!platform::ProtocolAdapter().decodeRequest("GET", "http://a/b/", {{"Host", "a"}}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(keeps_its_meaning_with_numbers_that_are_too_large)
+{
+    // A time limit of 2^63 - 1 ms had already passed when the request arrived.
+    const platform::ProtocolAdapter protocolAdapter;
+    const HttpHeaders headers = {{"Host", "a"},
+        {"X-Deadline-Ms", "9223372036854775807"},
+        {"X-Model", "m"},
+        {"X-Token-Counts", "9223372036854775807,-80"},
+        {"X-Prompt-Prefix", "a1:100,b2:9223372036854775807,c3:5"}};
+    const Result<CallerRequest> request = protocolAdapter.decodeRequest("POST", "/a/", headers);
+    BOOST_REQUIRE(request.has_value());
+    BOOST_REQUIRE(request->timeLimit.has_value());
+    BOOST_TEST((TimePoint(1h) + *request->timeLimit > TimePoint(24h)));
+    BOOST_TEST(request->prompt->promptTokens > 0);
+    BOOST_TEST(request->prompt->promptTokens <= std::int64_t(1) << 40);
+    BOOST_TEST(request->prompt->maxOutputTokens == 0);
+    BOOST_TEST(request->prompt->parts.size() == 1U);
+    const HttpHeaders negative = {{"Host", "a"}, {"X-Model", "m"}, {"X-Prompt-Prefix", "a1:100,b2:-5,c3:5"}};
+    BOOST_TEST(protocolAdapter.decodeRequest("POST", "/a/", negative)->prompt->parts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(is_invalid_with_more_than_one_id)
+{
+    const HttpHeaders headers = {{"Host", "a"}, {"X-Request-Id", "r1"}, {"x-request-id", "r2"}};
+    BOOST_TEST(!platform::ProtocolAdapter().decodeRequest("GET", "/a/", headers).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(is_forwarded_unchanged_except_for_hop_by_hop_and_reserved_headers)
 {
     HttpHeaders headers = requestHeaders();
@@ -115,6 +142,17 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(a_receipt_whose_handle_would_add_headers_is_invalid)
+{
+    // The handle is sent to the decode engine in a header, and with it whatever the prefill engine put after a line's end.
+    const platform::ProtocolAdapter protocolAdapter;
+    BOOST_TEST(protocolAdapter.decodePrefill(R"({"kvHandle":"3fa09c41b7d5","tokens":1460,"version":1})", "e").has_value());
+    for (const char *handle : {R"("a\r\nX-Stage: prefill")", R"("a b")", R"("a\u0000")", R"("")", R"("\u00e9")", "17", "null"}) {
+        const std::string body = R"({"tokens":1460,"version":1,"kvHandle":)" + std::string(handle) + '}';
+        BOOST_TEST(!protocolAdapter.decodePrefill(body, "e").has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_is_not_executed_only_if_it_states_so)
 {
     const platform::ProtocolAdapter protocolAdapter;
@@ -192,6 +230,43 @@
     BOOST_TEST(splitter.count() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(may_have_fields_of_the_platform_and_comments)
+{
+    EventSplitter splitter(platform::ProtocolAdapter().eventFields());
+    const std::string events = "x-weight-versions: 7\nid: 1\ndata: a\n\n: comment\n\nevent: e\nretry: 3\ndata\nid:2\n\n";
+    BOOST_TEST(splitter.append(events) == events);
+    BOOST_TEST(!splitter.fault().has_value());
+    BOOST_TEST(splitter.lastId().value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(end_with_the_first_bytes_that_are_no_event)
+{
+    for (const char *bytes : {"HTTP/1.1 503 Full\r\n\r\n",
+             "{\"error\":1}\n\n",
+             "id: 2\nContent-Length: 3\n\n",
+             "id: 2\ndata: a\nid: 3\ndata: b\n\n",
+             "X-Weight-Versions: 7\n\n"}) {
+        EventSplitter splitter(platform::ProtocolAdapter().eventFields());
+        BOOST_TEST(splitter.append("id: 1\ndata: a\n\n" + std::string(bytes) + "id: 4\n\n") == "id: 1\ndata: a\n\n");
+        BOOST_TEST(splitter.fault().has_value());
+        BOOST_TEST(splitter.append("id: 5\n\n").empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(that_are_resumed_may_leave_gaps_between_ids_only_if_the_ids_did_before)
+{
+    EventSplitter consecutive;
+    (void)consecutive.append("id: 4\n\nid: 5\n\n");
+    consecutive.startStream();
+    BOOST_TEST(consecutive.append("id: 7\n\n").empty());
+    BOOST_TEST(consecutive.fault().has_value());
+    EventSplitter sparse;
+    (void)sparse.append("id: 4\n\nid: 8\n\n");
+    sparse.startStream();
+    BOOST_TEST(sparse.append("id: 12\n\n") == "id: 12\n\n");
+    BOOST_TEST(!sparse.fault().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(that_are_resumed_return_no_repeated_and_no_incomplete_event)
 {
     EventSplitter splitter;
