Decode a server's notice of shutdown and the Retry-After of its 503

A server that shuts down says so in each answer, and a server that turns a request away with 503 may say for how long it wants none. Both were read nowhere. The adapter decodes them into BackendAnswer: serverIsShuttingDown and serverDeclinesFor, fractions of a second rounded up, at most 24 h. A negative, infinite or malformed delay is kept as text for the log and not used.

The notice of shutdown concerns the hop between this system and the server: callers talk to a node that stays, so it is not forwarded. Retry-After and all other headers of the server are forwarded unchanged, since an answer that is relayed is the server's own.

Nothing acts on the fields yet.

--- a/include/apricotarch/transport/backend_protocol_adapter.h
+++ b/include/apricotarch/transport/backend_protocol_adapter.h
@@ -75,6 +75,9 @@
     bool notExecuted = false; ///< The server states that it has not executed the request, so that the request can safely be sent again.
     bool isSigned = false; ///< The answer has a signature of the backend server.
     bool isEventStream = false; ///< The body is an event stream.
+    bool serverIsShuttingDown = false; ///< The server states that its process is shutting down.
+    std::optional<std::chrono::milliseconds> serverDeclinesFor; ///< How long the server wants no requests from this node.
+    std::string invalidRetryAfter; ///< Value of a Retry-After header that cannot be used, for the log; otherwise empty.
     std::optional<std::uint64_t> contentLength;
 
     [[nodiscard]] bool success() const noexcept
--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -124,6 +124,57 @@
     BOOST_TEST(!protocolAdapter.decodeAnswer(504, "", {}).notExecuted);
 }
 
+BOOST_AUTO_TEST_SUITE(what_a_server_states_about_itself)
+
+BOOST_AUTO_TEST_CASE(in_any_answer_is_that_it_is_shutting_down)
+{
+    const platform::ProtocolAdapter protocolAdapter;
+    for (const int status : {200, 421, 500, 503}) {
+        BOOST_TEST(protocolAdapter.decodeAnswer(status, "", {{"Server-Leaving", "1"}}).serverIsShuttingDown);
+        BOOST_TEST(!protocolAdapter.decodeAnswer(status, "", {{"Server-Leaving", "0"}}).serverIsShuttingDown);
+        BOOST_TEST(!protocolAdapter.decodeAnswer(status, "", {{"Connection", "close"}}).serverIsShuttingDown);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_for_this_system_and_its_other_headers_are_for_the_caller)
+{
+    const BackendAnswer answer = platform::ProtocolAdapter().decodeAnswer(
+        503, "", {{"Server-Leaving", "1"}, {"Retry-After", "2.5"}, {"X-Response-Seal", "s"}, {"X-Weight-Versions", "3"}});
+    BOOST_TEST(answer.forwardedHeaders.value("Server-Leaving").empty());
+    BOOST_TEST(answer.forwardedHeaders.value("Retry-After") == "2.5");
+    BOOST_TEST(answer.forwardedHeaders.value("X-Response-Seal") == "s");
+    BOOST_TEST(answer.forwardedHeaders.value("X-Weight-Versions") == "3");
+}
+
+BOOST_AUTO_TEST_CASE(with_503_is_how_long_it_declines)
+{
+    const platform::ProtocolAdapter protocolAdapter;
+    const auto declinesFor = [&protocolAdapter](int status, const char *seconds) {
+        return protocolAdapter.decodeAnswer(status, "", {{"Retry-After", seconds}}).serverDeclinesFor;
+    };
+    BOOST_TEST((declinesFor(503, "2") == 2s));
+    BOOST_TEST((declinesFor(503, "0.25") == 250ms));
+    BOOST_TEST((declinesFor(503, "0.0001") == 1ms));
+    BOOST_TEST((declinesFor(503, "0") == 0ms));
+    BOOST_TEST((declinesFor(503, "99999999999999999999999999") == 24h));
+    for (const int status : {200, 429, 500}) {
+        BOOST_TEST(!declinesFor(status, "2").has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_ignored_and_reported_if_it_is_no_time)
+{
+    const platform::ProtocolAdapter protocolAdapter;
+    for (const char *text : {"soon", "-1", "inf", "nan", "2s", "1e9", "Sat, 05 Dec 2026 10:00:00 GMT"}) {
+        const BackendAnswer answer = protocolAdapter.decodeAnswer(503, "", {{"Retry-After", text}});
+        BOOST_TEST(!answer.serverDeclinesFor.has_value(), text);
+        BOOST_TEST(answer.invalidRetryAfter == text);
+    }
+    BOOST_TEST(protocolAdapter.decodeAnswer(503, "", {{"Retry-After", "2"}}).invalidRetryAfter.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(a_stage_order_contains_holder_fencing_token_and_expected_orders)
 {
     const StageOrder order{ReplicaId("i-7"), EngineStage::Prefill, NodeId("node-7"), FencingToken(41), 2};
