Send no new requests to a server whose answers say that it is shutting down

Callers' requests went on to a server for as long as its entry in the servers' table said ready, however often its answers announced the shutdown: while the store is away, until the server was gone.

Cause: only the entry was looked at.

Each connection of the pool reports the head of every answer, so runs, prefills, refusals, 421, errors, stage orders, reports, releases and discarded answers to other requests all count. The statement belongs to the server's process: it holds until an entry with a later start, and an answer on a connection from before that start does not count against the new process. A renewed entry that still says ready, or one that comes back after an outage of the store, does not undo it. Requests in progress go on, KV memory that was obtained is fetched or released, idle connections are closed. Selection is in BackendTable::selectUsable(); a server that was selected before an await is checked again directly before the send. If a service has no other server that can execute requests, the server is used for 500 ms after its first statement, then callers are refused at once with Retry-After. The stage controller neither counts nor orders such engines.

Peers are not told: each node learns it from its first answer or from the entry, and the heartbeat does not grow.

Log line server.leaving, counter apricotarch_servers_total{event="leaving"}.

Regression tests: request_forwarder/a_server_whose_answers_say_that_it_is_shutting_down.

--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -45,7 +45,16 @@
         , backendPool(ConnectionPoolLimits())
         , random(seed + 1)
     {
+        backendPool.setHeadObserver([this](const BackendConnection &connection, const AnswerHead &head) {
+            recordServerStatements(connection, head);
+        });
     }
+    FrontState(const FrontState &) = delete;
+    FrontState &operator=(const FrontState &) = delete;
+    ~FrontState() = default;
+
+    /// Applies what an answer of a backend server states about the server itself. Called for each answer, whatever it answers.
+    void recordServerStatements(const BackendConnection &connection, const AnswerHead &head);
 
     /// Whether the node accepts new callers.
     [[nodiscard]] bool isReady() const noexcept
--- a/include/apricotarch/app/stage_controller.h
+++ b/include/apricotarch/app/stage_controller.h
@@ -62,6 +62,8 @@
     [[nodiscard]] asio::awaitable<void> orderUnderLease(BackendPointer engine, EngineStage stage);
     [[nodiscard]] asio::awaitable<Result<EngineStageReport>> readReport(BackendPointer engine);
     [[nodiscard]] asio::awaitable<BackendCallAnswer> sendToEngine(const BackendPointer &engine, std::string message);
+    /// Whether an engine may be sent reports' requests and orders. It may change while another call is awaited.
+    [[nodiscard]] bool takesOrders(const Backend &engine) const;
     /// Makes an engine available again.
     void cancelChange(Backend &engine);
     /// Estimates the demand on a service over all nodes; empty until load has lasted long enough.
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -150,6 +150,8 @@
     TimePoint stageChangeUntil; ///< The server takes no requests until this time, since its stage is being changed.
     EngineStage orderedStage = EngineStage::Any; ///< Stage that this node has ordered; valid until stageChangeUntil.
     TimePoint stageChangedAt; ///< Time at which its stage was last found to have changed.
+    TimePoint processKnownSince; ///< When this node learned of the server's current process.
+    std::optional<TimePoint> shutdownStatedAt; ///< When an answer of the current process first stated that it is shutting down.
     TimePoint lastAnswerByteAt; ///< Time at which this node last received a byte of an answer from it.
     int failures = 0; ///< Number of consecutive failures.
 
@@ -167,6 +169,12 @@
         return stageChangeUntil > now && orderedStage != EngineStage::Any ? orderedStage : record.stage;
     }
 
+    /// Whether the server's current process has stated in an answer that it is shutting down, whatever its entry says.
+    [[nodiscard]] bool statesShutdown() const noexcept
+    {
+        return shutdownStatedAt.has_value();
+    }
+
     /// Records a failure of the server; it is avoided for a time that doubles with each consecutive failure, up to a limit.
     void recordFailure(TimePoint now);
 
@@ -187,11 +195,21 @@
     /// store is written again within two seconds after the store's recovery.
     static constexpr std::chrono::milliseconds RemovedServerGracePeriod{1500};
 
+    /// How long a server whose answers say that it is shutting down may still be used if its service has no other.
+    static constexpr std::chrono::milliseconds ShutdownGracePeriod{500};
+
     // ---- changes ----
 
     /// Adds or updates a server from its entry. @return whether anything but a counter has changed
     bool update(const BackendRecord &record, TimePoint now);
 
+    /**
+     * Records an answer in which a server states that it is shutting down. Valid until the server's next start.
+     * @param connectedAt when the connection with the answer was opened; the answer may be from an earlier process of the server
+     * @return whether this was not known before
+     */
+    bool recordShutdownStatement(const ReplicaId &id, TimePoint connectedAt, TimePoint now);
+
     /// Marks a server as removed after its entry was removed.
     void remove(const ReplicaId &id, TimePoint now);
 
@@ -209,9 +227,15 @@
     /// Returns a server by its id, or null if there is none.
     [[nodiscard]] BackendPointer find(const ReplicaId &id) const;
 
-    /// Returns the servers of a service that may receive new requests. Recently removed ones are returned only if there is no other.
+    /**
+     * Returns the servers of a service that may receive new requests. Recently removed ones, and those whose answers have recently
+     * announced their shutdown, are returned only if there is no other.
+     */
     [[nodiscard]] std::vector<BackendPointer> selectUsable(const ServiceId &service, TimePoint now) const;
 
+    /// Whether selectUsable() returns a server. Checks a server that was selected some time ago.
+    [[nodiscard]] bool isUsable(const BackendPointer &server, TimePoint now) const;
+
     /// Returns the ready servers of a service, including those whose stage is being changed.
     [[nodiscard]] std::vector<BackendPointer> ready(const ServiceId &service) const;
 
@@ -228,6 +252,9 @@
     }
 
 private:
+    /// Returns the server if a process that it had when a connection was opened is still its current one; otherwise null.
+    [[nodiscard]] BackendPointer findProcess(const ReplicaId &id, TimePoint connectedAt) const;
+
     std::map<ReplicaId, BackendPointer> m_backends;
     std::unordered_map<ServiceId, std::vector<BackendPointer>> m_byService;
     std::unordered_map<ServiceId, std::int64_t> m_cacheTokens;
--- a/include/apricotarch/state/metrics.h
+++ b/include/apricotarch/state/metrics.h
@@ -27,6 +27,7 @@
     Leases, ///< By step.
     Configurations, ///< By step.
     Peers, ///< By event.
+    Servers, ///< By event.
 };
 
 /// Kinds of measured durations.
@@ -68,7 +69,7 @@
         std::map<std::string, std::uint64_t, std::less<>> counts;
     };
 
-    static constexpr std::size_t FamilyCount = 8;
+    static constexpr std::size_t FamilyCount = 9;
     static constexpr std::size_t LatencyCount = 3;
 
     std::array<Family, FamilyCount> m_families;
--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -46,7 +46,11 @@
     /// Returns whether an answer belongs to the request that was sent. Other answers are read to their end and discarded.
     using AnswerFilter = std::function<bool(const AnswerHead &)>;
 
-    BackendConnection(const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint);
+    /// Receives the head of each answer on a connection, including answers that are discarded.
+    using HeadObserver = std::function<void(const BackendConnection &, const AnswerHead &)>;
+
+    BackendConnection(
+        const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint, TimePoint openedAt, HeadObserver observeHead);
 
     // ---- exchange ----
 
@@ -128,6 +132,12 @@
         return m_endpoint;
     }
 
+    /// When the connection was created. All its answers are from a process of the server that ran then or started later.
+    [[nodiscard]] TimePoint openedAt() const noexcept
+    {
+        return m_openedAt;
+    }
+
 private:
     void connect(Duration timeout);
     void write();
@@ -146,6 +156,8 @@
     asio::steady_timer m_connectTimer;
     ReplicaId m_replica;
     Endpoint m_endpoint;
+    TimePoint m_openedAt;
+    HeadObserver m_observeHead;
     ExchangePhase m_phase = ExchangePhase::Idle;
     std::string m_message;
     std::string m_input;
@@ -177,6 +189,9 @@
 public:
     explicit BackendConnectionPool(ConnectionPoolLimits limits);
 
+    /// Sets the observer of the answers on all connections that are created afterwards.
+    void setHeadObserver(BackendConnection::HeadObserver observer);
+
     /**
      * Returns an idle connection, or a new one that is not yet connected.
      * @param requireRecentlyUsed whether to reuse only a recently used connection, for a request that cannot be sent again
@@ -187,6 +202,9 @@
     /// Returns a connection to the pool after endExchange() has returned true.
     void release(BackendConnection::Pointer connection, TimePoint now);
 
+    /// Closes the idle connections to a server, and those in use when they are released.
+    void retireConnections(const ReplicaId &replica, TimePoint now);
+
     /// Closes connections whose idle time has expired or for whose server @p keep returns false.
     void closeExpired(TimePoint now, const std::function<bool(const ReplicaId &)> &keep);
 
@@ -197,8 +215,12 @@
     }
 
 private:
+    [[nodiscard]] bool isRetired(const BackendConnection &connection) const;
+
     ConnectionPoolLimits m_limits;
+    BackendConnection::HeadObserver m_observeHead;
     std::map<ReplicaId, std::vector<BackendConnection::Pointer>> m_idle;
+    std::map<ReplicaId, TimePoint> m_retiredAt; ///< Connections that were opened until this time are not reused.
     std::uint64_t m_opened = 0;
 };
 
--- /dev/null
+++ b/src/app/front_state.cpp
@@ -0,0 +1,25 @@
+#include "apricotarch/app/front_state.h"
+
+#include "apricotarch/base/log.h"
+
+namespace apricotarch
+{
+
+void FrontState::recordServerStatements(const BackendConnection &connection, const AnswerHead &head)
+{
+    const BackendAnswer answer = protocolAdapter.decodeAnswer(head.status, head.reason, head.headers);
+    const ReplicaId &server = connection.replica();
+    const RequestId request = answer.request.value_or(RequestId());
+    const TimePoint now = clock.now();
+    if (answer.serverIsShuttingDown && backends.recordShutdownStatement(server, connection.openedAt(), now)) {
+        backendPool.retireConnections(server, now);
+        metrics.increment(CounterFamily::Servers, "leaving");
+        LogEvent("server.leaving")
+            .field("server", server)
+            .field("request", request)
+            .field("source", "answer")
+            .field("status", answer.status);
+    }
+}
+
+} // namespace apricotarch
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -97,6 +97,17 @@
     BackendPointer backend, AttemptOptions options, std::int64_t tokensToPrefill, Duration answerTimeout)
 {
     const TimePoint now = m_state.clock.now();
+    m_lastServer = backend->record.id;
+    m_triedServers.insert(backend->record.id);
+    if (!m_state.backends.isUsable(backend, now)) {
+        Attempt attempt;
+        attempt.error = Error{ErrorId::Refused,
+            "backend.send",
+            backend->record.address.text(),
+            "the server takes no more requests since it was selected",
+            Delivery::NotSent};
+        co_return attempt;
+    }
     const std::vector<PromptPart> prompt = m_request.prompt ? m_request.prompt->parts : std::vector<PromptPart>();
     ActiveAttempt activeAttempt(m_state, backend, tokensToPrefill, prompt);
     activeAttempt.prefillOnly = options.prefillOnly;
@@ -104,8 +115,6 @@
     activeAttempt.lastReceivedAt = now;
     activeAttempt.engineProcess = engineProcessHash(backend->record);
     activeAttempt.retryAt = answerTimeout >= LongestRequestTime ? TimePoint::max() : now + answerTimeout;
-    m_lastServer = backend->record.id;
-    m_triedServers.insert(backend->record.id);
     options.replica = backend->record.id;
     options.remainingTime = remainingTime();
     if (m_request.prompt) {
--- a/src/app/stage_controller.cpp
+++ b/src/app/stage_controller.cpp
@@ -111,7 +111,10 @@
             if (service == nullptr || !service->engine || !visitedServices.insert(serviceWeight.service).second) {
                 continue;
             }
-            const std::vector<BackendPointer> engines = m_state.backends.ready(serviceWeight.service);
+            std::vector<BackendPointer> engines = m_state.backends.ready(serviceWeight.service);
+            std::erase_if(engines, [](const BackendPointer &engine) {
+                return engine->statesShutdown();
+            });
             std::size_t &previousCount = m_engineCounts[serviceWeight.service];
             if (std::exchange(previousCount, engines.size()) != engines.size()) {
                 continue; // Engines are being added or removed; the next poll counts them again.
@@ -167,17 +170,23 @@
 
 asio::awaitable<void> StageController::orderUnderLease(BackendPointer engine, EngineStage stage)
 {
+    if (!takesOrders(*engine)) {
+        LogEvent("stage.not_ordered").field("engine", engine->record.id).field("report", "not_requested");
+        cancelChange(*engine);
+        co_return;
+    }
     const Result<EngineStageReport> report = co_await readReport(engine);
     const bool canChange = report && !report->busy && report->stage != stage;
     // Renews the lease directly before the order, so that a process that was suspended since detects its loss.
     co_await m_lease.step();
     const std::optional<Authority> authority = m_lease.authority();
-    if (!canChange || !authority || engine->record.state != BackendState::Ready) {
+    if (!canChange || !authority || !takesOrders(*engine)) {
         LogEvent("stage.not_ordered")
             .field("engine", engine->record.id)
             .field("report", report ? "read" : errorName(report.error().id))
             .field("busy", report && report->busy ? "yes" : "no")
-            .field("lease", authority ? "held" : "lost");
+            .field("lease", authority ? "held" : "lost")
+            .field("takes_orders", takesOrders(*engine) ? "yes" : "no");
         cancelChange(*engine);
         co_return;
     }
@@ -195,6 +204,11 @@
     }
 }
 
+bool StageController::takesOrders(const Backend &engine) const
+{
+    return engine.record.state == BackendState::Ready && !engine.statesShutdown();
+}
+
 void StageController::cancelChange(Backend &engine)
 {
     engine.stageChangeUntil = m_state.clock.now();
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -1,6 +1,7 @@
 #include "apricotarch/state/backend.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <sstream>
 
@@ -14,6 +15,12 @@
 constexpr int MaxDoublings = 4; ///< Limits the time for which a server is avoided to 3.2 s.
 constexpr std::chrono::seconds RemovedRetention{30}; ///< Longer than any answer that may still be in progress.
 
+/// Whether a server can execute a request as a whole. Prefill engines only prepare it for another engine.
+bool executesRequests(const BackendPointer &backend)
+{
+    return backend->record.stage != EngineStage::Prefill;
+}
+
 } // namespace
 
 std::string sharedPartsText(const std::vector<PromptPart> &prompt)
@@ -106,6 +113,7 @@
     if (!backend) {
         backend = new Backend();
         backend->record = record;
+        backend->processKnownSince = now;
         backend->cache.resize(m_cacheTokens[record.service]);
         m_byService[record.service].push_back(backend);
         ++m_revision;
@@ -122,6 +130,8 @@
         backend->cache.clear();
         backend->failures = 0;
         backend->avoidUntil = now;
+        backend->processKnownSince = now;
+        backend->shutdownStatedAt.reset();
     }
     if (current.service != record.service) {
         std::erase(m_byService[current.service], backend);
@@ -136,6 +146,22 @@
     return changed;
 }
 
+bool BackendTable::recordShutdownStatement(const ReplicaId &id, TimePoint connectedAt, TimePoint now)
+{
+    const BackendPointer backend = findProcess(id, connectedAt);
+    if (!backend || backend->shutdownStatedAt) {
+        return false;
+    }
+    backend->shutdownStatedAt = now;
+    return true;
+}
+
+BackendPointer BackendTable::findProcess(const ReplicaId &id, TimePoint connectedAt) const
+{
+    BackendPointer backend = find(id);
+    return backend && backend->processKnownSince <= connectedAt ? backend : nullptr;
+}
+
 void BackendTable::remove(const ReplicaId &id, TimePoint now)
 {
     const auto found = m_backends.find(id);
@@ -144,7 +170,8 @@
     }
     Backend &backend = *found->second;
     // A server that has announced its shutdown does not return, so it gets no grace period after its removal.
-    backend.removedAt = backend.record.state == BackendState::Draining ? now - RemovedServerGracePeriod : now;
+    const bool wasShuttingDown = backend.record.state == BackendState::Draining || backend.statesShutdown();
+    backend.removedAt = wasShuttingDown ? now - RemovedServerGracePeriod : now;
     backend.record.state = BackendState::Removed;
     ++m_revision;
 }
@@ -205,21 +232,34 @@
 std::vector<BackendPointer> BackendTable::selectUsable(const ServiceId &service, TimePoint now) const
 {
     std::vector<BackendPointer> ready;
+    std::vector<BackendPointer> shuttingDown;
     std::vector<BackendPointer> recentlyRemoved;
     const auto found = m_byService.find(service);
     if (found == m_byService.end()) {
         return ready;
     }
     for (const BackendPointer &backend : found->second) {
-        if (backend->record.state == BackendState::Ready) {
-            if (backend->stageChangeUntil <= now) {
+        if (backend->record.state == BackendState::Ready && backend->stageChangeUntil <= now) {
+            if (!backend->statesShutdown()) {
                 ready.push_back(backend);
+            } else if (now - *backend->shutdownStatedAt < ShutdownGracePeriod) {
+                shuttingDown.push_back(backend);
             }
-        } else if (backend->record.state == BackendState::Removed && now - backend->removedAt < RemovedServerGracePeriod) {
+        } else if (backend->record.state == BackendState::Removed && !backend->statesShutdown()
+            && now - backend->removedAt < RemovedServerGracePeriod) {
             recentlyRemoved.push_back(backend);
         }
     }
+    if (std::ranges::none_of(ready, executesRequests)) {
+        std::ranges::copy_if(shuttingDown, std::back_inserter(ready), executesRequests);
+    }
     return ready.empty() ? recentlyRemoved : ready;
 }
 
+bool BackendTable::isUsable(const BackendPointer &server, TimePoint now) const
+{
+    const std::vector<BackendPointer> usable = selectUsable(server->record.service, now);
+    return std::ranges::find(usable, server) != usable.end();
+}
+
 } // namespace apricotarch
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -28,7 +28,7 @@
     const char *label;
 };
 
-constexpr std::array<MetricName, 8> FamilyNames = {{
+constexpr std::array<MetricName, 9> FamilyNames = {{
     {"apricotarch_requests_total", "service"},
     {"apricotarch_refusals_total", "reason"},
     {"apricotarch_retries_total", "reason"},
@@ -37,6 +37,7 @@
     {"apricotarch_leases_total", "step"},
     {"apricotarch_configurations_total", "step"},
     {"apricotarch_peers_total", "event"},
+    {"apricotarch_servers_total", "event"},
 }};
 
 constexpr std::array<const char *, 3> LatencyNames = {
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -30,13 +30,19 @@
 /// A server that sends more than this in answers to other requests is cut off.
 constexpr std::size_t MaxSkippedBytes = 256UL * 1024;
 
+/// Longer than any exchange that was in progress when the connections to its server were retired.
+constexpr std::chrono::minutes RetirementRetention{2};
+
 } // namespace
 
-BackendConnection::BackendConnection(const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint)
+BackendConnection::BackendConnection(
+    const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint, TimePoint openedAt, HeadObserver observeHead)
     : m_socket(executor)
     , m_connectTimer(executor)
     , m_replica(std::move(replica))
     , m_endpoint(std::move(endpoint))
+    , m_openedAt(openedAt)
+    , m_observeHead(std::move(observeHead))
 {
 }
 
@@ -162,6 +168,9 @@
         }
         m_input.erase(0, *used);
         if (m_phase == ExchangePhase::Waiting && m_parser->isHeadComplete() && !m_skipping) {
+            if (m_observeHead) {
+                m_observeHead(*this, m_parser->head());
+            }
             m_skipping = !m_isExpectedAnswer(m_parser->head());
             if (!m_skipping) {
                 m_phase = ExchangePhase::ReceivingBody;
@@ -265,6 +274,11 @@
 {
 }
 
+void BackendConnectionPool::setHeadObserver(BackendConnection::HeadObserver observer)
+{
+    m_observeHead = std::move(observer);
+}
+
 BackendConnection::Pointer BackendConnectionPool::acquire(
     const asio::any_io_executor &executor, const ReplicaId &replica, const Endpoint &endpoint, bool requireRecentlyUsed, TimePoint now)
 {
@@ -282,13 +296,13 @@
         connection->close();
     }
     ++m_opened;
-    return new BackendConnection(executor, replica, endpoint);
+    return new BackendConnection(executor, replica, endpoint, now, m_observeHead);
 }
 
 void BackendConnectionPool::release(BackendConnection::Pointer connection, TimePoint now)
 {
     auto &idle = m_idle[connection->replica()];
-    if (idle.size() >= m_limits.maxIdlePerServer) {
+    if (idle.size() >= m_limits.maxIdlePerServer || isRetired(*connection)) {
         connection->close();
         return;
     }
@@ -304,6 +318,23 @@
     idle.push_back(std::move(connection));
 }
 
+void BackendConnectionPool::retireConnections(const ReplicaId &replica, TimePoint now)
+{
+    m_retiredAt[replica] = now;
+    if (const auto found = m_idle.find(replica); found != m_idle.end()) {
+        for (const BackendConnection::Pointer &connection : found->second) {
+            connection->close();
+        }
+        m_idle.erase(found);
+    }
+}
+
+bool BackendConnectionPool::isRetired(const BackendConnection &connection) const
+{
+    const auto found = m_retiredAt.find(connection.replica());
+    return found != m_retiredAt.end() && connection.openedAt() <= found->second;
+}
+
 void BackendConnectionPool::closeExpired(TimePoint now, const std::function<bool(const ReplicaId &)> &keep)
 {
     for (auto &[replica, idle] : m_idle) {
@@ -319,6 +350,9 @@
     std::erase_if(m_idle, [](const auto &entry) {
         return entry.second.empty();
     });
+    std::erase_if(m_retiredAt, [now](const auto &entry) {
+        return now - entry.second > RetirementRetention;
+    });
 }
 
 } // namespace apricotarch
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -53,6 +53,7 @@
 
     std::vector<std::string> targets; ///< Targets of the received requests, in order.
     std::size_t repeatedBytes = 0; ///< Bytes sent in repetitions.
+    std::size_t closedConnections = 0; ///< Connections that the other side has closed while no request was in progress.
     bool repetitionEnded = false; ///< Whether the other side has closed a connection during repetitions.
 
 private:
@@ -86,6 +87,7 @@
         connection->socket.async_read_some(
             boost::asio::buffer(connection->chunk), [this, connection](const boost::system::error_code &code, std::size_t size) {
                 if (code) {
+                    ++closedConnections;
                     return;
                 }
                 connection->input.append(connection->chunk.data(), size);
--- a/tests/src/unit-backend_table.cpp
+++ b/tests/src/unit-backend_table.cpp
@@ -68,6 +68,79 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_server_that_states_in_an_answer_that_it_is_shutting_down)
+
+/// A table with the servers "a", whose answer states so at the time Start, and "b".
+struct Fixture
+{
+    Fixture()
+    {
+        table.update(record("a"), Start);
+        table.update(record("b"), Start);
+        BOOST_TEST(table.recordShutdownStatement(ReplicaId("a"), Start, Start));
+    }
+
+    [[nodiscard]] std::vector<std::string> usable(TimePoint now) const
+    {
+        std::vector<std::string> ids;
+        for (const BackendPointer &server : table.selectUsable(Service, now)) {
+            ids.push_back(server->record.id.value());
+        }
+        return ids;
+    }
+
+    BackendTable table;
+};
+
+const std::vector<std::string> OnlyB{"b"};
+const std::vector<std::string> Both{"a", "b"};
+const std::vector<std::string> OnlyA{"a"};
+
+BOOST_FIXTURE_TEST_CASE(gets_no_new_requests_while_its_entry_says_ready, Fixture)
+{
+    BOOST_TEST(usable(Start) == OnlyB);
+    BOOST_TEST(!table.recordShutdownStatement(ReplicaId("a"), Start, Start + 1s)); // Nothing new.
+    table.update(record("a"), Start + 1s);
+    BOOST_TEST(usable(Start + 1s) == OnlyB);
+    table.replaceAll({record("a"), record("b")}, Start + 1min);
+    BOOST_TEST(usable(Start + 1min) == OnlyB);
+}
+
+BOOST_FIXTURE_TEST_CASE(gets_requests_after_its_next_start, Fixture)
+{
+    BackendRecord restarted = record("a");
+    restarted.startedAt = 20;
+    table.update(restarted, Start + 1s);
+    BOOST_TEST(usable(Start + 1s) == Both);
+    // A late answer of the previous process, on a connection from before.
+    BOOST_TEST(!table.recordShutdownStatement(ReplicaId("a"), Start, Start + 2s));
+    BOOST_TEST(usable(Start + 2s) == Both);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_used_for_a_short_time_if_there_is_no_other, Fixture)
+{
+    table.update(drainingRecord("b"), Start);
+    BOOST_TEST(usable(Start + 100ms) == OnlyA);
+    BOOST_TEST(usable(Start + BackendTable::ShutdownGracePeriod).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(is_used_for_a_short_time_if_the_others_only_prefill, Fixture)
+{
+    BackendRecord prefill = record("b");
+    prefill.stage = EngineStage::Prefill;
+    table.update(prefill, Start);
+    BOOST_TEST(usable(Start + 100ms).size() == 2U);
+    BOOST_TEST(usable(Start + BackendTable::ShutdownGracePeriod) == OnlyB);
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_used_after_its_removal, Fixture)
+{
+    table.replaceAll({}, Start + 100ms);
+    BOOST_TEST(usable(Start + 100ms) == OnlyB);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(servers_whose_entries_expire_during_an_outage)
 
 BOOST_AUTO_TEST_CASE(are_used_for_a_short_time_if_there_is_no_other)
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -212,6 +212,18 @@
     std::array<char, 4096> m_chunk{};
 };
 
+/// Gives a server of a node so many requests that all others are preferred to it, or none.
+void setBusy(TestNode &node, const char *id, bool busy)
+{
+    node.state.backends.find(ReplicaId(id))->localLoad.requests = busy ? 5 : 0;
+}
+
+/// The answer of a server to a request for a view.
+ScriptedAnswer answerView(const RequestHead &head, const std::string & /*body*/)
+{
+    return ScriptedAnswer{fullResponse(head, "week")};
+}
+
 const std::string BookingRequest =
     "POST /book/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nvisi";
 const std::string ViewRequest = "GET /view/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r2\r\nX-Deadline-Ms: 5000\r\n\r\n";
@@ -550,6 +562,174 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_server_whose_answers_say_that_it_is_shutting_down)
+
+/// Adds the header of a server that is shutting down to an answer.
+std::string withShutdownNotice(std::string answer)
+{
+    return answer.insert(answer.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(gets_further_requests_until_its_entry_changes)
+{
+    // The server's entry said ready for seconds after its answers had announced the shutdown.
+    const std::string id = "X-Request-Id: r2\r\nX-Response-Seal: s\r\n";
+    for (const std::string &answer : {"HTTP/1.1 200 OK\r\n" + id + "Content-Length: 4\r\n\r\nweek",
+             "HTTP/1.1 500 Oops\r\n" + id + "Content-Length: 0\r\n\r\n",
+             std::string("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"),
+             DeclinedResponse}) {
+        TestNode node;
+        ScriptedServer &leaving = node.addServer("a", [&answer](const RequestHead &, const std::string &) {
+            return ScriptedAnswer{withShutdownNotice(answer)};
+        });
+        ScriptedServer &other = node.addServer("b", answerView);
+        setBusy(node, "b", true);
+        BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+        BOOST_TEST(leaving.targets.size() == 1U);
+        for (int request = 0; request < 4; ++request) {
+            BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+        }
+        BOOST_TEST(leaving.targets.size() == 1U, answer);
+        BOOST_TEST(other.targets.size() >= 4U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(does_not_show_the_notice_to_callers)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{withShutdownNotice(fullResponse(head, "week"))};
+    });
+    const std::string answer = node.sendRequest(ViewRequest, "week");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answer.find("Server-Leaving") == std::string::npos);
+    BOOST_TEST(answer.find("X-Response-Seal: s\r\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(finishes_the_streams_that_it_runs)
+{
+    TestNode node;
+    ScriptedServer &leaving = node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{withShutdownNotice(streamHead(head)), false, chunk(event(1)), 100ms};
+    });
+    ScriptedServer &other = node.addServer("b", answerView);
+    setBusy(node, "b", true);
+    CallerProbe stream(node, CheckRequest);
+    node.runFor(250ms);
+    setBusy(node, "b", false);
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    BOOST_TEST(other.targets.size() == 1U);
+    const std::size_t bytesBefore = leaving.repeatedBytes;
+    node.runFor(500ms);
+    BOOST_TEST(!leaving.repetitionEnded);
+    BOOST_TEST(leaving.repeatedBytes > bytesBefore);
+    BOOST_TEST(stream.answer.find(event(1)) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_prompts_for_decoding_after_a_prefill)
+{
+    TestNode node;
+    ScriptedServer &leaving = node.addEngine("prefill", EngineStage::Prefill, [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{withShutdownNotice(fullResponse(head, R"({"kvHandle":"h1","tokens":17000,"version":1})"))};
+    });
+    std::vector<std::string> sources;
+    node.addEngine("decode", EngineStage::Decode, [&sources](const RequestHead &head, const std::string &) {
+        sources.emplace_back(head.headers.value("X-Kv-Source"));
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    for (int prompt = 0; prompt < 2; ++prompt) {
+        BOOST_TEST(node.sendRequest(LongPromptRequest, "0\r\n\r\n").find(event(1)) != std::string::npos);
+    }
+    // The memory of the first prompt, which was prefilled already, is used; the second prompt is prefilled elsewhere.
+    BOOST_TEST(leaving.targets.size() == 1U);
+    BOOST_REQUIRE(sources.size() == 2U);
+    BOOST_TEST(sources[0] == leaving.endpoint().text() + "/h1");
+    BOOST_TEST(sources[1].empty());
+}
+
+BOOST_AUTO_TEST_CASE(in_an_answer_to_another_request_gets_further_requests)
+{
+    TestNode node;
+    ScriptedServer &leaving = node.addServer("a", [](const RequestHead &head, const std::string &) {
+        RequestHead other;
+        other.headers.add("X-Request-Id", "late");
+        return ScriptedAnswer{withShutdownNotice(fullResponse(other, "late")) + fullResponse(head, "week")};
+    });
+    node.addServer("b", answerView);
+    setBusy(node, "b", true);
+    for (int request = 0; request < 2; ++request) {
+        BOOST_TEST(node.sendRequest(ViewRequest, "\r\n\r\nweek").ends_with("\r\n\r\nweek"));
+    }
+    BOOST_TEST(leaving.targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_idle_connections)
+{
+    TestNode node;
+    bool isLeaving = false;
+    ScriptedServer &leaving = node.addServer("a", [&isLeaving](const RequestHead &head, const std::string &) {
+        const std::string answer = fullResponse(head, "week");
+        ScriptedAnswer reply{isLeaving ? withShutdownNotice(answer) : answer};
+        reply.delay = 100ms;
+        return reply;
+    });
+    std::vector<std::unique_ptr<CallerProbe>> callers;
+    for (int caller = 0; caller < 3; ++caller) {
+        callers.push_back(std::make_unique<CallerProbe>(node, ViewRequest));
+    }
+    node.runFor(300ms);
+    BOOST_REQUIRE(leaving.targets.size() == 3U);
+    BOOST_TEST(leaving.closedConnections == 0U);
+    isLeaving = true;
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    node.runFor(100ms);
+    BOOST_TEST(leaving.closedConnections == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(and_is_the_only_one_gets_requests_for_seconds)
+{
+    TestNode node;
+    ScriptedServer &leaving = node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{withShutdownNotice(fullResponse(head, "week"))};
+    });
+    for (int request = 0; request < 2; ++request) {
+        BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    }
+    node.runFor(1s);
+    const auto startedAt = std::chrono::steady_clock::now();
+    const std::string refused = node.sendRequest(ViewRequest, "no_server");
+    BOOST_TEST(refused.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(refused.find("Retry-After: ") != std::string::npos);
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 1s));
+    BOOST_TEST(leaving.targets.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(gets_requests_again_after_its_next_start_only)
+{
+    TestNode node;
+    bool restarted = false;
+    ScriptedServer &server = node.addServer("a", [&restarted](const RequestHead &head, const std::string &) {
+        const std::string answer = fullResponse(head, "week");
+        return ScriptedAnswer{restarted ? answer : withShutdownNotice(answer)};
+    });
+    node.addServer("b", answerView);
+    setBusy(node, "b", true);
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    BackendRecord record = node.state.backends.find(ReplicaId("a"))->record;
+    node.state.backends.update(record, node.state.clock.now()); // Renewed by the same process, still ready.
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    BOOST_TEST(server.targets.size() == 1U);
+    record.startedAt += 1;
+    node.state.backends.update(record, node.state.clock.now());
+    restarted = true;
+    for (std::size_t request = 1; request <= 2; ++request) {
+        BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+        BOOST_TEST(server.targets.size() == 1U + request);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
 
 BOOST_AUTO_TEST_CASE(is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not)
