--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -47,7 +47,11 @@
     /// Returns whether an answer belongs to the request that was sent. Other answers are read to their end and discarded.
     using AnswerFilter = std::function<bool(const AnswerHead &)>;
 
-    BackendConnection(const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint);
+    /// Receives the head of each answer on a connection, including answers that are discarded.
+    using HeadObserver = std::function<void(const BackendConnection &, const AnswerHead &)>;
+
+    BackendConnection(
+        const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint, TimePoint openedAt, HeadObserver observeHead);
 
     // ---- exchange ----
 
@@ -147,6 +151,12 @@
         return m_endpoint;
     }
 
+    /// When the connection was created. All its answers are from a process of the server that ran then or started later.
+    [[nodiscard]] TimePoint openedAt() const noexcept
+    {
+        return m_openedAt;
+    }
+
 private:
     void connect(Duration timeout);
     void write();
@@ -166,6 +176,8 @@
     asio::steady_timer m_connectTimer;
     ReplicaId m_replica;
     Endpoint m_endpoint;
+    TimePoint m_openedAt;
+    HeadObserver m_observeHead;
     ExchangePhase m_phase = ExchangePhase::Idle;
     std::string m_message;
     std::string m_input;
@@ -207,6 +219,9 @@
 public:
     explicit BackendConnectionPool(ConnectionPoolLimits limits);
 
+    /// Sets the observer of the answers on all connections that are created afterwards.
+    void setHeadObserver(BackendConnection::HeadObserver observer);
+
     /**
      * Returns an idle connection, or a new one that is not yet connected.
      * @param reuse which kept connections may be returned
@@ -222,6 +237,9 @@
     /// Returns a connection to the pool after endExchange() has returned true.
     void release(BackendConnection::Pointer connection, TimePoint now);
 
+    /// Closes the idle connections to a server, and those in use when they are released.
+    void retireConnections(const ReplicaId &replica, TimePoint now);
+
     /// Closes connections whose idle time has expired or for whose server @p keep returns false.
     void closeExpired(TimePoint now, const std::function<bool(const ReplicaId &)> &keep);
 
@@ -236,8 +254,12 @@
     [[nodiscard]] BackendConnection::Pointer takeIdle(
         const ReplicaId &replica, const Endpoint &endpoint, ConnectionReuse reuse, TimePoint now, const RequestId &request);
 
+    [[nodiscard]] bool isRetired(const BackendConnection &connection) const;
+
     ConnectionPoolLimits m_limits;
+    BackendConnection::HeadObserver m_observeHead;
     std::map<ReplicaId, std::vector<BackendConnection::Pointer>> m_idle;
+    std::map<ReplicaId, TimePoint> m_retiredAt; ///< Connections that were opened until this time are not reused.
     std::uint64_t m_opened = 0;
 };
 
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -30,13 +30,19 @@
 /// A server that sends more than this in answers to other requests is cut off.
 constexpr std::size_t MaxSkippedBytes = 256UL * 1024;
 
+/// Longer than any exchange that was in progress when the connections to its server were retired.
+constexpr std::chrono::minutes RetirementRetention{2};
+
 } // namespace
 
-BackendConnection::BackendConnection(const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint)
+BackendConnection::BackendConnection(
+    const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint, TimePoint openedAt, HeadObserver observeHead)
     : m_socket(executor)
     , m_connectTimer(executor)
     , m_replica(std::move(replica))
     , m_endpoint(std::move(endpoint))
+    , m_openedAt(openedAt)
+    , m_observeHead(std::move(observeHead))
 {
 }
 
@@ -166,6 +172,9 @@
         }
         m_input.erase(0, *used);
         if (m_phase == ExchangePhase::Waiting && m_parser->isHeadComplete() && !m_skipping) {
+            if (m_observeHead) {
+                m_observeHead(*this, m_parser->head());
+            }
             m_skipping = !m_isExpectedAnswer(m_parser->head());
             if (!m_skipping) {
                 m_phase = ExchangePhase::ReceivingBody;
@@ -269,6 +278,11 @@
 {
 }
 
+void BackendConnectionPool::setHeadObserver(BackendConnection::HeadObserver observer)
+{
+    m_observeHead = std::move(observer);
+}
+
 BackendConnection::Pointer BackendConnectionPool::acquire(const asio::any_io_executor &executor,
     const ReplicaId &replica,
     const Endpoint &endpoint,
@@ -279,7 +293,7 @@
     BackendConnection::Pointer connection = takeIdle(replica, endpoint, reuse, now, request);
     if (!connection) {
         ++m_opened;
-        connection = new BackendConnection(executor, replica, endpoint);
+        connection = new BackendConnection(executor, replica, endpoint, now, m_observeHead);
     }
     if (!request.empty()) {
         connection->recordRequest(request);
@@ -310,7 +324,7 @@
 void BackendConnectionPool::release(BackendConnection::Pointer connection, TimePoint now)
 {
     auto &idle = m_idle[connection->replica()];
-    if (idle.size() >= m_limits.maxIdlePerServer) {
+    if (idle.size() >= m_limits.maxIdlePerServer || isRetired(*connection)) {
         connection->close();
         return;
     }
@@ -326,6 +340,23 @@
     idle.push_back(std::move(connection));
 }
 
+void BackendConnectionPool::retireConnections(const ReplicaId &replica, TimePoint now)
+{
+    m_retiredAt[replica] = now;
+    if (const auto found = m_idle.find(replica); found != m_idle.end()) {
+        for (const BackendConnection::Pointer &connection : found->second) {
+            connection->close();
+        }
+        m_idle.erase(found);
+    }
+}
+
+bool BackendConnectionPool::isRetired(const BackendConnection &connection) const
+{
+    const auto found = m_retiredAt.find(connection.replica());
+    return found != m_retiredAt.end() && connection.openedAt() <= found->second;
+}
+
 void BackendConnectionPool::closeExpired(TimePoint now, const std::function<bool(const ReplicaId &)> &keep)
 {
     for (auto &[replica, idle] : m_idle) {
@@ -341,6 +372,9 @@
     std::erase_if(m_idle, [](const auto &entry) {
         return entry.second.empty();
     });
+    std::erase_if(m_retiredAt, [now](const auto &entry) {
+        return now - entry.second > RetirementRetention;
+    });
 }
 
 } // namespace apricotarch
--- a/tests/src/unit-backend_connection.cpp
+++ b/tests/src/unit-backend_connection.cpp
@@ -34,7 +34,7 @@
     tcp::acceptor acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0});
     AsyncEvent changeEvent(loop.get_executor());
     const BackendConnection::Pointer connection(
-        new BackendConnection(loop.get_executor(), ReplicaId("a"), {"127.0.0.1", acceptor.local_endpoint().port()}));
+        new BackendConnection(loop.get_executor(), ReplicaId("a"), {"127.0.0.1", acceptor.local_endpoint().port()}, TimePoint(), nullptr));
     const std::string request = "POST / HTTP/1.1\r\nContent-Length: 64000000\r\n\r\n" + std::string(64'000'000, 'x');
     connection->startExchange(
         request,
