Send nothing to a server for the time for which its 503 asks

A server that turned requests away with 503 and Retry-After went on getting requests from the node, and callers were told to come back within a second although no server would take them.

Cause: the delay was not read. The penalty after a failure starts at 200 ms, and is a preference only: a server with a penalty is used if there is no better one.

Of several answers the latest end counts; an entry with a later start ends it. Requests that were sent go on. Selection is in BackendTable::selectUsable(); a server that was selected before an await is checked again before the send, so only connections that are being established, 300 ms at most, may still deliver a request. If all servers that can execute requests decline, callers are refused at once with the shortest remaining time plus the usual spread. A value that is not a number of seconds is ignored and logged. Log lines server.declines, server.retry_after_ignored and kv.not_released, counters in apricotarch_servers_total.

Ruled out: sharing the state between nodes, since the server declines requests of one node.

Regression tests: request_forwarder/a_server_that_declines_for_a_time.

--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -152,6 +152,7 @@
     TimePoint stageChangedAt; ///< Time at which its stage was last found to have changed.
     TimePoint processKnownSince; ///< When this node learned of the server's current process.
     std::optional<TimePoint> shutdownStatedAt; ///< When an answer of the current process first stated that it is shutting down.
+    TimePoint declinesUntil; ///< The server wants no requests from this node until this time. Other nodes may still send some.
     TimePoint lastAnswerByteAt; ///< Time at which this node last received a byte of an answer from it.
     int failures = 0; ///< Number of consecutive failures.
 
@@ -175,6 +176,12 @@
         return shutdownStatedAt.has_value();
     }
 
+    /// Whether the server wants no requests from this node at present.
+    [[nodiscard]] bool declines(TimePoint now) const noexcept
+    {
+        return declinesUntil > now;
+    }
+
     /// Records a failure of the server; it is avoided for a time that doubles with each consecutive failure, up to a limit.
     void recordFailure(TimePoint now);
 
@@ -210,6 +217,13 @@
      */
     bool recordShutdownStatement(const ReplicaId &id, TimePoint connectedAt, TimePoint now);
 
+    /**
+     * Records an answer in which a server states that it wants no requests from this node until a time. Of several, the latest time counts.
+     * @param connectedAt see recordShutdownStatement()
+     * @return whether the time is later than the one known before
+     */
+    bool recordDecline(const ReplicaId &id, TimePoint connectedAt, TimePoint until);
+
     /// Marks a server as removed after its entry was removed.
     void remove(const ReplicaId &id, TimePoint now);
 
@@ -236,6 +250,10 @@
     /// Whether selectUsable() returns a server. Checks a server that was selected some time ago.
     [[nodiscard]] bool isUsable(const BackendPointer &server, TimePoint now) const;
 
+    /// Returns the time until one of the service's servers takes requests from this node again; 0 if one takes them now or none is known
+    /// to do so later.
+    [[nodiscard]] Duration remainingDeclineTime(const ServiceId &service, TimePoint now) const;
+
     /// Returns the ready servers of a service, including those whose stage is being changed.
     [[nodiscard]] std::vector<BackendPointer> ready(const ServiceId &service) const;
 
--- a/src/app/front_state.cpp
+++ b/src/app/front_state.cpp
@@ -20,6 +20,14 @@
             .field("source", "answer")
             .field("status", answer.status);
     }
+    if (answer.serverDeclinesFor && backends.recordDecline(server, connection.openedAt(), now + *answer.serverDeclinesFor)) {
+        metrics.increment(CounterFamily::Servers, "declining");
+        LogEvent("server.declines").field("server", server).field("request", request).field("for_ms", answer.serverDeclinesFor->count());
+    }
+    if (!answer.invalidRetryAfter.empty()) {
+        metrics.increment(CounterFamily::Servers, "retry_after_ignored");
+        LogEvent("server.retry_after_ignored").field("server", server).field("request", request).field("value", answer.invalidRetryAfter);
+    }
 }
 
 } // namespace apricotarch
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -282,7 +282,9 @@
             server = m_state.placementPlanner.selectDecodeEngine(usable, m_triedServers, now);
         }
         if (!server) {
-            m_triedServers.empty() ? refuse(RefusalReason::NoServer) : refuse(RefusalReason::ServersFull);
+            const bool declined =
+                !m_triedServers.empty() || m_state.backends.remainingDeclineTime(m_serviceId, m_state.clock.now()) > Duration::zero();
+            refuse(declined ? RefusalReason::ServersFull : RefusalReason::NoServer);
             break;
         }
         AttemptOptions options;
@@ -397,6 +399,11 @@
 
 void RequestForwarder::releaseKv()
 {
+    const BackendPointer engine = m_state.backends.find(m_prefillEngine);
+    if (engine && engine->declines(m_state.clock.now())) {
+        LogEvent("kv.not_released").field("request", m_request.id).field("server", m_prefillEngine).field("reason", "server_declines");
+        return; // The memory is freed when it expires.
+    }
     // If the call fails, the memory is freed when it expires.
     BackendCall call{m_prefillEngine, m_kvLocation->engine, m_state.protocolAdapter.encodeRelease(*m_kvLocation), false, ReleaseTimeout};
     const auto release = [](FrontState &state, BackendCall releaseCall) -> asio::awaitable<void> {
@@ -426,6 +433,8 @@
     std::chrono::milliseconds delay(std::uniform_int_distribution<int>(200, 1000)(m_state.random));
     if (reason == RefusalReason::Quarantined) {
         delay = QuarantineRetryDelay;
+    } else if (reason == RefusalReason::ServersFull) {
+        delay += std::chrono::ceil<std::chrono::milliseconds>(m_state.backends.remainingDeclineTime(m_serviceId, m_state.clock.now()));
     }
     m_state.metrics.increment(CounterFamily::Refusals, response.reason);
     sendLocalResponse(response.status, response.reason, response.retry ? std::optional<Duration>(delay) : std::nullopt);
--- a/src/app/stage_controller.cpp
+++ b/src/app/stage_controller.cpp
@@ -206,7 +206,7 @@
 
 bool StageController::takesOrders(const Backend &engine) const
 {
-    return engine.record.state == BackendState::Ready && !engine.statesShutdown();
+    return engine.record.state == BackendState::Ready && !engine.statesShutdown() && !engine.declines(m_state.clock.now());
 }
 
 void StageController::cancelChange(Backend &engine)
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -132,6 +132,7 @@
         backend->avoidUntil = now;
         backend->processKnownSince = now;
         backend->shutdownStatedAt.reset();
+        backend->declinesUntil = now;
     }
     if (current.service != record.service) {
         std::erase(m_byService[current.service], backend);
@@ -156,6 +157,16 @@
     return true;
 }
 
+bool BackendTable::recordDecline(const ReplicaId &id, TimePoint connectedAt, TimePoint until)
+{
+    const BackendPointer backend = findProcess(id, connectedAt);
+    if (!backend || backend->declinesUntil >= until) {
+        return false;
+    }
+    backend->declinesUntil = until;
+    return true;
+}
+
 BackendPointer BackendTable::findProcess(const ReplicaId &id, TimePoint connectedAt) const
 {
     BackendPointer backend = find(id);
@@ -239,6 +250,9 @@
         return ready;
     }
     for (const BackendPointer &backend : found->second) {
+        if (backend->declines(now)) {
+            continue;
+        }
         if (backend->record.state == BackendState::Ready && backend->stageChangeUntil <= now) {
             if (!backend->statesShutdown()) {
                 ready.push_back(backend);
@@ -262,4 +276,15 @@
     return std::ranges::find(usable, server) != usable.end();
 }
 
+Duration BackendTable::remainingDeclineTime(const ServiceId &service, TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const BackendPointer &backend : ready(service)) {
+        if (executesRequests(backend) && !backend->statesShutdown()) {
+            earliest = std::min(earliest.value_or(TimePoint::max()), backend->declinesUntil);
+        }
+    }
+    return earliest ? std::max<Duration>(*earliest - now, Duration::zero()) : Duration::zero();
+}
+
 } // namespace apricotarch
--- a/tests/src/unit-backend_table.cpp
+++ b/tests/src/unit-backend_table.cpp
@@ -141,6 +141,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_server_that_declines_requests_for_a_time)
+
+BOOST_AUTO_TEST_CASE(gets_none_until_the_latest_of_the_times)
+{
+    BackendTable table;
+    table.update(record("a"), Start);
+    BOOST_TEST(table.recordDecline(ReplicaId("a"), Start, Start + 3s));
+    BOOST_TEST(!table.recordDecline(ReplicaId("a"), Start, Start + 1s));
+    const BackendPointer server = table.find(ReplicaId("a"));
+    BOOST_TEST(!table.isUsable(server, Start + 2999ms));
+    BOOST_TEST(table.selectUsable(Service, Start + 2999ms).empty());
+    BOOST_TEST(table.isUsable(server, Start + 3s));
+}
+
+BOOST_AUTO_TEST_CASE(gets_none_even_if_it_is_the_last_one_and_was_removed_recently)
+{
+    BackendTable table;
+    table.update(record("a"), Start);
+    table.recordDecline(ReplicaId("a"), Start, Start + 3s);
+    table.replaceAll({}, Start);
+    BOOST_TEST(table.selectUsable(Service, Start).empty());
+}
+
+BOOST_AUTO_TEST_CASE(gets_requests_after_its_next_start)
+{
+    BackendTable table;
+    table.update(record("a"), Start);
+    table.recordDecline(ReplicaId("a"), Start, Start + 3s);
+    BackendRecord restarted = record("a");
+    restarted.startedAt = 20;
+    table.update(restarted, Start + 1s);
+    BOOST_TEST(table.selectUsable(Service, Start + 1s).size() == 1U);
+    BOOST_TEST(!table.recordDecline(ReplicaId("a"), Start, Start + 9s)); // Stated by the previous process.
+    BOOST_TEST(table.selectUsable(Service, Start + 1s).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(like_all_others_is_available_after_the_shortest_of_the_times)
+{
+    BackendTable table;
+    BOOST_TEST((table.remainingDeclineTime(Service, Start) == 0s));
+    table.update(record("a"), Start);
+    table.update(record("b"), Start);
+    BackendRecord prefill = record("c");
+    prefill.stage = EngineStage::Prefill;
+    table.update(prefill, Start);
+    table.recordDecline(ReplicaId("a"), Start, Start + 3s);
+    BOOST_TEST((table.remainingDeclineTime(Service, Start) == 0s));
+    table.recordDecline(ReplicaId("b"), Start, Start + 2s);
+    BOOST_TEST((table.remainingDeclineTime(Service, Start + 500ms) == 1500ms));
+    table.recordShutdownStatement(ReplicaId("b"), Start, Start);
+    BOOST_TEST((table.remainingDeclineTime(Service, Start + 500ms) == 2500ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(servers_whose_entries_expire_during_an_outage)
 
 BOOST_AUTO_TEST_CASE(are_used_for_a_short_time_if_there_is_no_other)
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -322,6 +322,21 @@
     BOOST_TEST(!selectStageChange(fleet, StageDemand(), lastOrderAt, settings, Start).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(are_not_ordered_from_engines_that_decline)
+{
+    auto fleet = engines(4, 8);
+    StagePlannerSettings settings;
+    settings.initialPrefillShare = 0.5;
+    for (const BackendPointer &backend : fleet) {
+        backend->declinesUntil = Start + 1s;
+    }
+    BOOST_TEST(!selectStageChange(fleet, StageDemand(), {}, settings, Start).has_value());
+    fleet.back()->declinesUntil = Start;
+    BOOST_REQUIRE(selectStageChange(fleet, StageDemand(), {}, settings, Start).has_value());
+    BOOST_TEST(selectStageChange(fleet, StageDemand(), {}, settings, Start)->engine == fleet.back()->record.id);
+    BOOST_TEST(selectStageChange(fleet, StageDemand(), {}, settings, Start + 1s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -730,6 +730,165 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_server_that_declines_for_a_time)
+
+/// A refusal that asks for no requests for a time in seconds.
+std::string declinedFor(const std::string &seconds)
+{
+    return "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nRetry-After: " + seconds + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Returns the Retry-After value of an answer in seconds.
+double retryAfter(const std::string &answer)
+{
+    const std::string name = "Retry-After: ";
+    const std::size_t at = answer.find(name);
+    return at == std::string::npos ? -1 : std::stod(answer.substr(at + name.size()));
+}
+
+BOOST_AUTO_TEST_CASE(gets_more_requests_before_that_time_is_over)
+{
+    // The penalty after a failure ended after 200 ms, and a server with a penalty was still used if there was no better one.
+    TestNode node;
+    ScriptedServer &declining = node.addServer("a", [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{declinedFor("1.5")};
+    });
+    node.addServer("b", answerView);
+    setBusy(node, "b", true);
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    BOOST_REQUIRE(declining.targets.size() == 1U);
+    node.runFor(500ms);
+    for (int request = 0; request < 4; ++request) {
+        BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    }
+    BOOST_TEST(declining.targets.size() == 1U);
+    node.runFor(1200ms);
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+    BOOST_TEST(declining.targets.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(like_all_others_has_callers_wait_for_nothing)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{declinedFor("30")};
+    });
+    node.addServer("b", [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{declinedFor("20.5")};
+    });
+    for (int request = 0; request < 3; ++request) {
+        const auto startedAt = std::chrono::steady_clock::now();
+        const std::string answer = node.sendRequest(ViewRequest, "servers_full");
+        BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+        BOOST_TEST(retryAfter(answer) >= 19);
+        BOOST_TEST(retryAfter(answer) <= 21.5);
+        BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 1s));
+    }
+    BOOST_TEST(node.servers[0]->targets.size() == 1U);
+    BOOST_TEST(node.servers[1]->targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(several_times_gets_no_requests_until_the_latest_of_the_times)
+{
+    TestNode node;
+    int requestCount = 0;
+    ScriptedServer &declining = node.addServer("a", [&requestCount](const RequestHead &, const std::string &) {
+        ScriptedAnswer answer{declinedFor(++requestCount == 1 ? "30" : "0.1")};
+        answer.delay = requestCount == 1 ? 0ms : 100ms;
+        return answer;
+    });
+    std::vector<std::unique_ptr<CallerProbe>> callers;
+    for (int caller = 0; caller < 2; ++caller) {
+        callers.push_back(std::make_unique<CallerProbe>(node, ViewRequest));
+    }
+    node.runFor(500ms);
+    BOOST_TEST(retryAfter(node.sendRequest(ViewRequest, "servers_full")) > 25);
+    BOOST_TEST(declining.targets.size() <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(that_cannot_be_read_gets_requests_as_before)
+{
+    TestNode node;
+    ScriptedServer &declining = node.addServer("a", [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{declinedFor("soon")};
+    });
+    for (std::size_t request = 1; request <= 2; ++request) {
+        const double delay = retryAfter(node.sendRequest(ViewRequest, "servers_full"));
+        BOOST_TEST(delay > 0);
+        BOOST_TEST(delay <= 1);
+        BOOST_TEST(declining.targets.size() == request);
+    }
+    BOOST_TEST(node.state.metrics.count(CounterFamily::Servers, "retry_after_ignored") == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_request_that_was_placed_before_it_declined)
+{
+    // The load of a second group of engines is asked for after an engine of the first one was selected.
+    TestNode node(0);
+    int sent = 0;
+    for (int index = 0; index < 48; ++index) {
+        node.addEngine(("i-" + std::to_string(index)).c_str(), EngineStage::Decode, [&sent](const RequestHead &head, const std::string &) {
+            ++sent;
+            return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+        });
+    }
+    int queries = 0;
+    node.state.refreshGroupLoad = [&](const EngineGroupQuery &query) -> asio::awaitable<void> {
+        ++queries;
+        for (const BackendPointer &engine : node.state.engineGroups.find(query.service, query.group)->engines) {
+            engine->remoteLoad.promptTokens = queries == 1 ? 10'000 : 20'000;
+        }
+        if (queries == 3) {
+            const TimePoint now = node.state.clock.now();
+            for (const auto &[id, engine] : node.state.backends.all()) {
+                node.state.backends.recordDecline(id, now, now + 30s);
+            }
+        }
+        co_return;
+    };
+    BOOST_TEST(node.sendRequest(LongPromptRequest, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+    BOOST_TEST(queries == 3);
+    BOOST_TEST(sent == 0);
+}
+
+BOOST_AUTO_TEST_CASE(finishes_the_requests_that_it_runs)
+{
+    TestNode node;
+    int requestCount = 0;
+    ScriptedServer &server = node.addServer("a", [&requestCount](const RequestHead &head, const std::string &) {
+        if (++requestCount > 1) {
+            return ScriptedAnswer{declinedFor("5")};
+        }
+        ScriptedAnswer answer{fullResponse(head, "booked")};
+        answer.delay = 400ms;
+        return answer;
+    });
+    CallerProbe running(node, BookingRequest);
+    node.runFor(100ms);
+    BOOST_TEST(node.sendRequest(ViewRequest, "servers_full").starts_with("HTTP/1.1 503"));
+    node.runFor(600ms);
+    BOOST_TEST(running.answer.ends_with("booked"));
+    BOOST_TEST(server.targets.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_prefills_in_that_time)
+{
+    TestNode node;
+    ScriptedServer &declining = node.addEngine("prefill", EngineStage::Prefill, [](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{declinedFor("30")};
+    });
+    node.addEngine("decode", EngineStage::Decode, [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    for (int prompt = 0; prompt < 3; ++prompt) {
+        BOOST_TEST(node.sendRequest(LongPromptRequest, "0\r\n\r\n").find(event(1)) != std::string::npos);
+        node.runFor(300ms);
+    }
+    BOOST_TEST(declining.targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
 
 BOOST_AUTO_TEST_CASE(is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not)
--- a/tests/src/unit-stage_controller.cpp
+++ b/tests/src/unit-stage_controller.cpp
@@ -156,6 +156,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(that_declines_for_a_time_is_asked_for_its_report_again)
+{
+    ControllerFixture fixture([](const RequestHead &, const std::string &) {
+        return ScriptedAnswer{"HTTP/1.1 503 Busy\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"};
+    });
+    fixture.runFor(SomePolls);
+    BOOST_TEST(fixture.count("/v1/report") >= 1);
+    BOOST_TEST(fixture.count("/v1/order") == 0);
+    for (const auto &engine : fixture.engines) {
+        BOOST_TEST(engine->targets.size() <= 1U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
