--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -132,7 +132,7 @@
   /// Whether the sender accepts new callers.
   7: required bool ready
   8: required bool leaving
-  /// Versions of the rows that the sender has last read.
+  /// The operator's version of the configuration in force, and the packed StorePosition up to which the servers' table has been read.
   9: required i64 planVersion
   10: required i64 serversVersion
   11: required list<ServerLoad> loads
@@ -210,7 +210,8 @@
 /// Requests the rows of the platform's tables that a front node has read.
 struct FleetSnapshotRequest {
   1: required string sender
-  /// Versions that the sender has. Only newer rows are requested; none if the version is the maximum of i64.
+  /// The operator's version of the configuration and the packed StorePosition of the servers' table that the sender has. Only newer rows
+  /// are requested; none if the version is the maximum of i64.
   2: required i64 planVersion
   3: required i64 serversVersion
   /// Whether the sender can read FleetSnapshot.compressedPlan.
--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -61,6 +61,8 @@
     /// Checks now and then whether the store can be reached, so that other nodes replace this one as a reader of the store.
     [[nodiscard]] asio::awaitable<void> checkStoreReachability();
     void updateStoreStatus(Table table, const Result<RowBatch> &result);
+    /// Records the incarnation of the store that the store itself or a peer has reported. @param source either, for the log
+    void recordStoreIncarnation(StoreIncarnation incarnation, const char *source);
     [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
 
     // ---- other nodes ----
@@ -95,8 +97,9 @@
     Incarnation m_incarnation;
     MessageSequence m_sequence;
     EngineGroupLoads m_groupLoads;
-    RowVersion m_planReadVersion; ///< Version up to which the configuration's table has been read; 0 requests a full read.
-    RowVersion m_serversReadVersion; ///< Version up to which the servers' table has been read; 0 requests a full read.
+    StorePosition m_planReadVersion; ///< Position up to which the configuration's table has been read; none requests a full read.
+    StorePosition m_serversReadVersion; ///< Position up to which the servers' table has been read; none requests a full read.
+    std::optional<StoreIncarnation> m_storeIncarnation; ///< Latest one that is known.
     bool m_storeReachable = true; ///< As of the last check.
     std::array<bool, 2> m_storeCallFailed{}; ///< By table: whether the last call to the store failed.
     bool m_urgentHeartbeatPending = false;
--- a/include/apricotarch/app/snapshot_exchange.h
+++ b/include/apricotarch/app/snapshot_exchange.h
@@ -45,15 +45,18 @@
     /// A table that is read from peers, with the state of the requests for it.
     struct FollowedTable
     {
-        const char *name; ///< Name for logs.
-        RowVersion FrontHeartbeat::*reported; ///< Version that heartbeats report.
-        RowVersion (FleetTables::*known)() const noexcept; ///< Version that this node has.
-        std::optional<RowVersion> FleetSnapshotRequest::*requested; ///< Field of the request that asks for the table.
+        const char *name = ""; ///< Name for logs.
+        bool (*isNewer)(
+            const FrontHeartbeat &heartbeat, const FleetTables &tables) = nullptr; ///< Whether a peer has newer rows than this node.
+        void (*ask)(FleetSnapshotRequest &request, const FleetTables &tables) = nullptr; ///< Asks for the rows that this node lacks.
+        std::string (*version)(const FleetTables &tables) = nullptr; ///< Version of the table that this node has, for logs.
         std::optional<TimePoint> behindSince; ///< When a peer was first found to have newer rows than this node.
         bool requesting = false;
         std::map<Endpoint, TimePoint> avoidUntil; ///< Peers that have failed or were busy.
     };
 
+    [[nodiscard]] static FollowedTable planTable();
+    [[nodiscard]] static FollowedTable serversTable();
     void catchUp(FollowedTable &table);
     [[nodiscard]] asio::awaitable<void> request(FollowedTable &table, Endpoint peer);
     /// Applies a peer's answer. @return how long the peer is avoided
--- a/include/apricotarch/base/ids.h
+++ b/include/apricotarch/base/ids.h
@@ -5,6 +5,7 @@
  * The identifiers and units used throughout the system.
  */
 
+#include "apricotarch/base/store_position.h"
 #include "apricotarch/base/strong_type.h"
 
 namespace apricotarch
@@ -24,7 +25,6 @@
 using FencingToken = StrongNumber<struct FencingTokenTag>; ///< Increases with every change of a lease's holder.
 using RenewalCounter = StrongNumber<struct RenewalCounterTag>; ///< Increases with every renewal of a lease.
 using OrderNumber = StrongNumber<struct OrderNumberTag>; ///< Counts the orders to one engine.
-using RowVersion = StrongNumber<struct RowVersionTag>; ///< Version of a row in the table service; 0 means no row.
 using ConfigurationVersion = StrongNumber<struct ConfigurationVersionTag>; ///< Counts accepted configurations; 0 means none.
 using Tokens = StrongNumber<struct TokensTag>; ///< Number of language model tokens, of prompt or output.
 using KvBlocks = StrongNumber<struct KvBlocksTag>; ///< KV blocks, the allocation units of an engine's KV cache.
--- a/include/apricotarch/base/log.h
+++ b/include/apricotarch/base/log.h
@@ -12,6 +12,7 @@
 
 #include "apricotarch/base/error.h"
 #include "apricotarch/base/ids.h"
+#include "apricotarch/base/store_position.h"
 
 namespace apricotarch
 {
@@ -67,6 +68,12 @@
         return field(key, number.value());
     }
 
+    /// Adds a position as `INCARNATION/VERSION`.
+    LogEvent &field(std::string_view key, const StorePosition &position)
+    {
+        return field(key, std::string_view(position.text()));
+    }
+
     /// Adds the name, step, peer and detail of an error.
     LogEvent &error(const Error &error);
 
--- a/include/apricotarch/coordination/adoption.h
+++ b/include/apricotarch/coordination/adoption.h
@@ -35,7 +35,7 @@
 /// An offer whose body this node holds, or that a peer has reported.
 struct KnownOffer
 {
-    RowVersion base; ///< Epoch of the row that the offer would replace.
+    StorePosition base; ///< Epoch of the row that the offer would replace.
     Digest digest;
     TimePoint receivedAt;
 };
@@ -44,7 +44,7 @@
 struct AdoptionView
 {
     std::optional<CommittedConfiguration> committed; ///< The committed row with the highest epoch received.
-    RowVersion highestReportedEpoch; ///< The highest epoch that a peer has reported.
+    StorePosition highestReportedEpoch; ///< The highest epoch that a peer has reported.
     std::optional<KnownOffer> offer; ///< An undecided offer, based on the committed epoch or a later one.
     std::optional<TimePoint> storeReadAt; ///< A moment before this node sent its last successful read.
     std::optional<TimePoint> relayedReadAt; ///< A moment before a peer's last successful read, as proven by its heartbeats.
@@ -61,7 +61,7 @@
 [[nodiscard]] AdoptionView applyCommitted(AdoptionView view, const CommittedConfiguration &committed);
 
 /// Updates a view with an epoch that a peer reports.
-[[nodiscard]] AdoptionView applyReportedEpoch(AdoptionView view, RowVersion epoch);
+[[nodiscard]] AdoptionView applyReportedEpoch(AdoptionView view, StorePosition epoch);
 
 /// Updates a view with an offer. An offer based on an earlier epoch than the committed one is ignored.
 [[nodiscard]] AdoptionView applyOffer(AdoptionView view, KnownOffer offer);
@@ -80,7 +80,7 @@
  * @param epoch epoch that the peer reports
  * @param readAt a moment before the peer's read
  */
-[[nodiscard]] AdoptionView applyRelayedRead(AdoptionView view, RowVersion epoch, TimePoint readAt);
+[[nodiscard]] AdoptionView applyRelayedRead(AdoptionView view, StorePosition epoch, TimePoint readAt);
 
 /**
  * Returns the freshness of a node's configuration.
--- a/include/apricotarch/coordination/claim_manager.h
+++ b/include/apricotarch/coordination/claim_manager.h
@@ -44,7 +44,7 @@
 {
     ClaimDecision decision = ClaimDecision::NotRun;
     RowKey key;
-    RowVersion version;
+    StorePosition version;
     ClaimRow row;
     Error error; ///< For NotRun: the cause.
 };
@@ -88,7 +88,7 @@
     [[nodiscard]] asio::awaitable<ClaimTicket> resolveExisting(RowKey key, Row existing, ClaimRow newRow);
     [[nodiscard]] asio::awaitable<bool> writeRow(const ClaimTicket &ticket, ClaimRow row);
     [[nodiscard]] asio::awaitable<bool> markNotSent(const ClaimTicket &ticket);
-    [[nodiscard]] ClaimTicket makeSendTicket(const RowKey &key, RowVersion version, const ClaimRow &row);
+    [[nodiscard]] ClaimTicket makeSendTicket(const RowKey &key, StorePosition version, const ClaimRow &row);
     [[nodiscard]] ClaimTicket makeNotRunTicket(const RowKey &key, const ClaimRow &row, Error error);
     [[nodiscard]] bool isRunning(const RowKey &key, const ClaimRow &row) const;
     void removeRunning(const RowKey &key);
--- a/include/apricotarch/coordination/conditional_write.h
+++ b/include/apricotarch/coordination/conditional_write.h
@@ -23,7 +23,7 @@
 struct WriteResult
 {
     WriteOutcome outcome = WriteOutcome::Unknown;
-    RowVersion version; ///< Version of the row after the write, if it was read or written.
+    StorePosition version; ///< Version of the row after the write, if it was read or written.
     std::string text; ///< Text of the row after the write, if it was read or written.
     Error error; ///< The last error, if the outcome could not be determined from the row.
 };
--- a/include/apricotarch/coordination/lease.h
+++ b/include/apricotarch/coordination/lease.h
@@ -47,7 +47,7 @@
 /// The state of one lease as last observed by one process.
 struct LeaseView
 {
-    RowVersion version; ///< Version of the row at the last read or write; 0 if there was no row.
+    StorePosition version; ///< Version of the row at the last read or write; 0 if there was no row.
     std::optional<LeaseRow> row; ///< Content of the row at the last read or write.
     TimePoint unchangedSince; ///< Time after the first read that returned the row in this version.
     std::optional<TimePoint> authorityExpiresAt; ///< Set while this process holds the lease.
@@ -68,7 +68,7 @@
  * @param row content of the row, if there is one
  * @param now a moment after the read
  */
-[[nodiscard]] LeaseView observeLease(LeaseView view, RowVersion version, std::optional<LeaseRow> row, TimePoint now);
+[[nodiscard]] LeaseView observeLease(LeaseView view, StorePosition version, std::optional<LeaseRow> row, TimePoint now);
 
 /// Selects the next action for the process @p self.
 [[nodiscard]] LeaseStep selectLeaseStep(const LeaseView &view, const ProcessId &self, TimePoint now, const LeaseTimes &times);
@@ -86,7 +86,7 @@
  * @param times durations of the lease
  */
 [[nodiscard]] LeaseView recordLeaseWrite(
-    LeaseView view, RowVersion version, LeaseRow row, TimePoint sentAt, TimePoint now, const LeaseTimes &times);
+    LeaseView view, StorePosition version, LeaseRow row, TimePoint sentAt, TimePoint now, const LeaseTimes &times);
 
 /// Updates a view after a failed write. Authority ends if another write came first; it is kept if the outcome is unknown.
 [[nodiscard]] LeaseView recordFailedLeaseWrite(LeaseView view, WriteOutcome outcome);
--- a/include/apricotarch/coordination/order.h
+++ b/include/apricotarch/coordination/order.h
@@ -118,7 +118,7 @@
     /// The row and the engine as read at the start of a step.
     struct Snapshot
     {
-        RowVersion version; ///< Version of the row; 0 if there is no row.
+        StorePosition version; ///< Version of the row; 0 if there is no row.
         OrderContext context;
         std::unique_ptr<EngineConnection> connection; ///< Connection to the engine process that reported its state.
     };
@@ -129,7 +129,8 @@
     /// Writes a row with the lease row as the guard. Retries if the guard failed only because this process renewed the lease.
     [[nodiscard]] asio::awaitable<WriteResult> writeGuarded(RowWrite write, FencingToken token);
     /// Removes this process from the row's pending senders; retries when another write comes first.
-    [[nodiscard]] asio::awaitable<void> removePendingSender(const RowKey &key, OrderRow row, RowVersion version, FencingToken fencingToken);
+    [[nodiscard]] asio::awaitable<void> removePendingSender(
+        const RowKey &key, OrderRow row, StorePosition version, FencingToken fencingToken);
     void recordDecision(const ReplicaSpec &replica, const OrderContext &context, const char *chosen);
 
     TableStore &m_table;
--- a/include/apricotarch/coordination/peer_client.h
+++ b/include/apricotarch/coordination/peer_client.h
@@ -18,7 +18,7 @@
 /// A configuration that is offered to other nodes before it is accepted.
 struct ConfigurationOffer
 {
-    RowVersion base; ///< Epoch of the row that the accepted configuration will replace.
+    StorePosition base; ///< Epoch of the row that the accepted configuration will replace.
     Digest digest;
     std::string body;
 };
--- a/include/apricotarch/coordination/peer_table.h
+++ b/include/apricotarch/coordination/peer_table.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -180,12 +181,11 @@
 
     /**
      * Returns the live peers that have newer rows of a table than this node.
-     * @param version member of the heartbeat that holds the table's version
-     * @param known version that this node has
+     * @param isNewer whether a heartbeat reports newer rows
      * @param now current time
      */
     [[nodiscard]] std::vector<SnapshotSource> findPeersWithNewerRows(
-        RowVersion FrontHeartbeat::*version, RowVersion known, TimePoint now) const;
+        const std::function<bool(const FrontHeartbeat &heartbeat)> &isNewer, TimePoint now) const;
 
 private:
     /// Returns whether the latest heartbeat of @p peer is not older than @p time.
--- a/include/apricotarch/coordination/platform_services.h
+++ b/include/apricotarch/coordination/platform_services.h
@@ -29,7 +29,7 @@
 /// A row's text and version.
 struct Row
 {
-    RowVersion version;
+    StorePosition version;
     std::string text;
 };
 
@@ -37,14 +37,14 @@
 struct RowGuard
 {
     RowKey key;
-    RowVersion version;
+    StorePosition version;
 };
 
 /// A conditional write of one row.
 struct RowWrite
 {
     RowKey key;
-    RowVersion expected; ///< Version that the row must have; 0 if the row must not exist.
+    StorePosition expected; ///< Position that the row must have; without a version if the row must not exist.
     std::string text;
     std::optional<RowGuard> guard; ///< Another row whose version is checked in the same transaction.
 };
@@ -63,10 +63,17 @@
 
     /**
      * Writes a row if the conditions of the write are met.
-     * @return the new version; Conflict if a condition is not met, and the row was certainly not written; StoreUnavailable,
-     *         with Delivery::MaybeSent if the write may have taken effect or may still do so
+     * @return the new position, which is of a later incarnation than the expected one if the service was restored meanwhile; Conflict if a
+     * condition is not met, and the row was certainly not written; StoreUnavailable, with Delivery::MaybeSent if the write may have taken
+     * effect or may still do so
      */
-    [[nodiscard]] virtual asio::awaitable<Result<RowVersion>> write(RowWrite write) = 0;
+    [[nodiscard]] virtual asio::awaitable<Result<StorePosition>> write(RowWrite write) = 0;
+
+    /// Latest incarnation of the service that an answer has reported; of a service that is never restored, the first one.
+    [[nodiscard]] virtual StoreIncarnation incarnation() const
+    {
+        return {};
+    }
 };
 
 /// The object store. Objects are named by the hash of their content, so writing an object again has no effect.
--- a/include/apricotarch/coordination/table_reader.h
+++ b/include/apricotarch/coordination/table_reader.h
@@ -19,13 +19,13 @@
 struct RowBatch
 {
     std::vector<StoredRow> rows;
-    RowVersion version; ///< Version of the store at that moment; the next changes are those after it.
+    StorePosition version; ///< Position of the store at that moment; the next changes are those after it.
 };
 
 /**
  * Reads complete tables and their changes. Errors: TimedOut if no answer arrives, ConnectionLost if the connection is lost
  * before the answer, RateLimited, StoreUnavailable (the request was not executed), HistoryDropped (the changes after the
- * given version are no longer available), MalformedMessage.
+ * given position are not available, or it is of another incarnation of the store), MalformedMessage.
  */
 class TableReader
 {
@@ -41,10 +41,16 @@
     /**
      * Waits for changes of a table.
      * @param table the table
-     * @param after version of the batch that was read last
+     * @param after position of the batch that was read last
      * @param wait how long the store may delay its answer; the batch is empty if there is no change within this time
      */
-    [[nodiscard]] virtual asio::awaitable<Result<RowBatch>> readChanges(std::string table, RowVersion after, Duration wait) = 0;
+    [[nodiscard]] virtual asio::awaitable<Result<RowBatch>> readChanges(std::string table, StorePosition after, Duration wait) = 0;
+
+    /// Latest incarnation of the store that an answer has reported.
+    [[nodiscard]] virtual StoreIncarnation incarnation() const
+    {
+        return {};
+    }
 
     /// Returns whether a connection to the store can be established. Makes no call.
     [[nodiscard]] virtual asio::awaitable<bool> isReachable() = 0;
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -61,6 +61,7 @@
     int slots = 1; ///< Number of requests processed at a time.
     BackendState state = BackendState::Ready;
     EngineStage stage = EngineStage::Any;
+    std::int64_t renewals = 0; ///< Counts the writes of the entry since the server's start.
     std::int64_t startedAt = 0; ///< Unix time of the server's start, in milliseconds; a new value means that its cache is lost.
 };
 
--- a/include/apricotarch/state/configuration.h
+++ b/include/apricotarch/state/configuration.h
@@ -136,7 +136,7 @@
 /// A configuration row together with its version in the table, which is the configuration's epoch.
 struct CommittedConfiguration
 {
-    RowVersion epoch;
+    StorePosition epoch;
     ConfigurationRow row;
 
     bool operator==(const CommittedConfiguration &) const = default;
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -113,8 +113,8 @@
     Endpoint peerAddress;
     bool ready = false; ///< Accepts new callers.
     bool shuttingDown = false; ///< Is shutting down.
-    RowVersion planVersion; ///< Version of the row of the configuration that the sender has in force.
-    RowVersion serversVersion; ///< Version up to which the sender has read the table of servers.
+    ConfigurationVersion planVersion; ///< The operator's version of the configuration that the sender has in force.
+    StorePosition serversVersion; ///< Position up to which the sender has read the table of servers.
     std::vector<ServerLoad> loads;
     std::vector<SentPrompt> sentPrompts;
     std::vector<CrashRecord> crashRecords;
@@ -174,27 +174,28 @@
 {
     std::string key;
     std::string text;
-    RowVersion version;
+    StorePosition version;
     bool removed = false;
 };
 
-/// Requests the rows that are newer than those of the requesting node.
+/// Requests the rows that are newer than those of the requesting node. The operator's versions of the configuration never go back, so that
+/// they order configurations across restores of the store; servers' rows have no version of the kind and are ordered by their positions.
 struct FleetSnapshotRequest
 {
     NodeId sender;
-    std::optional<RowVersion> planVersion; ///< Version of the configuration row that the sender has; empty if it is not requested.
-    /// Version up to which the sender has the table of servers; empty if it is not requested.
-    std::optional<RowVersion> serversVersion;
+    std::optional<ConfigurationVersion> planVersion; ///< Version that the sender has in force; empty if it is not requested.
+    /// Position up to which the sender has the table of servers; empty if it is not requested.
+    std::optional<StorePosition> serversVersion;
     bool acceptsCompressedPlan = false;
 };
 
 /// The rows of the platform's tables that the requesting node lacks, as last read by the answering node.
 struct FleetSnapshot
 {
-    RowVersion planVersion; ///< 0 if no configuration is known.
+    ConfigurationVersion planVersion; ///< The operator's version; 0 if no configuration is known.
     std::string plan; ///< Empty if the requesting node already has this version, or if it is compressed.
     std::string compressedPlan; ///< The configuration as compressed by compressText().
-    RowVersion serversVersion;
+    StorePosition serversVersion;
     std::vector<StoredRow> servers;
     std::vector<StoredRow> nodes;
     bool busy = false; ///< The answering node transfers the configuration to too many other nodes; nothing else is set.
--- a/include/apricotarch/state/heartbeat.h
+++ b/include/apricotarch/state/heartbeat.h
@@ -36,10 +36,10 @@
 /// State of the configuration at a node.
 struct ConfigurationState
 {
-    RowVersion epoch; ///< Epoch of the highest committed row that the node has received; 0 for none.
+    StorePosition epoch; ///< Epoch of the highest committed row that the node has received; 0 for none.
     ConfigurationVersion version;
     Digest digest;
-    RowVersion offerBase; ///< Epoch that a pending offer is based on; 0 for no offer.
+    StorePosition offerBase; ///< Epoch that a pending offer is based on; 0 for no offer.
     Digest offerDigest;
     bool ready = false; ///< Whether the configuration of the committed row is in force at the sender.
 };
--- a/include/apricotarch/transport/platform_client.h
+++ b/include/apricotarch/transport/platform_client.h
@@ -25,7 +25,7 @@
     PlatformTable(HttpClient &client, PlatformAccess access);
 
     [[nodiscard]] asio::awaitable<Result<std::optional<Row>>> read(RowKey key) override;
-    [[nodiscard]] asio::awaitable<Result<RowVersion>> write(RowWrite write) override;
+    [[nodiscard]] asio::awaitable<Result<StorePosition>> write(RowWrite write) override;
 
 private:
     HttpClient &m_client;
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -82,7 +82,6 @@
     };
     m_snapshots.onRowsAdopted = [this] {
         // Reading the store continues after the rows that peers have sent.
-        m_planReadVersion = std::max(m_planReadVersion, m_fleetTables.planVersion());
         m_serversReadVersion = std::max(m_serversReadVersion, m_fleetTables.serversVersion());
     };
     Result<void> listening = m_link.listen(m_state.settings.peerAddress, onDatagram, onRequest);
@@ -115,19 +114,26 @@
 
 asio::awaitable<void> FleetSynchronizer::followTable(Table table)
 {
-    RowVersion &version = table == Table::Plan ? m_planReadVersion : m_serversReadVersion;
+    StorePosition &version = table == Table::Plan ? m_planReadVersion : m_serversReadVersion;
     Duration pause = FirstRetryPause;
     while (true) {
         if (!m_state.peers.shouldReadStore(m_state.clock.now())) {
             // Heartbeats of the nodes that read the store report changes. If this node has to read again, it continues from here.
-            version =
-                table == Table::Plan ? std::max(version, m_fleetTables.planVersion()) : std::max(version, m_fleetTables.serversVersion());
+            if (table == Table::Servers) {
+                version = std::max(version, m_fleetTables.serversVersion());
+            }
             m_storeCallFailed.at(static_cast<std::size_t>(table)) = false;
             co_await m_state.clock.sleep(FollowerPollInterval);
             continue;
         }
-        const bool isFullTable = version.value() == 0;
+        if (m_storeIncarnation && version.incarnation() != *m_storeIncarnation) {
+            version = StorePosition();
+        }
+        const bool isFullTable = !version.exists();
         const Result<RowBatch> batch = co_await readTable(table, pause > FirstRetryPause);
+        if (batch) {
+            recordStoreIncarnation(batch->version.incarnation(), "store");
+        }
         updateStoreStatus(table, batch);
         if (batch) {
             pause = FirstRetryPause;
@@ -143,7 +149,7 @@
             continue;
         }
         if (batch.error().id == ErrorId::HistoryDropped && !isFullTable) {
-            version = RowVersion();
+            version = StorePosition();
             continue;
         }
         const std::int64_t maxPauseMs = toMilliseconds(pause);
@@ -156,8 +162,8 @@
 asio::awaitable<Result<RowBatch>> FleetSynchronizer::readTable(Table table, bool recovering)
 {
     const std::string &name = table == Table::Plan ? m_fleetTables.decoders().planTable : m_fleetTables.decoders().serversTable;
-    const RowVersion version = table == Table::Plan ? m_planReadVersion : m_serversReadVersion;
-    if (version.value() == 0) {
+    const StorePosition version = table == Table::Plan ? m_planReadVersion : m_serversReadVersion;
+    if (!version.exists()) {
         co_return co_await m_tables.readTable(name);
     }
     // The store may never answer a long poll that was sent during an outage, so long polls resume only after a successful call.
@@ -181,6 +187,24 @@
     }
 }
 
+void FleetSynchronizer::recordStoreIncarnation(StoreIncarnation incarnation, const char *source)
+{
+    if (m_storeIncarnation && incarnation <= *m_storeIncarnation) {
+        return;
+    }
+    const std::optional<StoreIncarnation> before = std::exchange(m_storeIncarnation, incarnation);
+    LogEvent event("store.incarnation", before ? LogEvent::Level::Warning : LogEvent::Level::Info);
+    event.field("incarnation", incarnation).field("source", source);
+    if (!before) {
+        return;
+    }
+    event.field("before", *before)
+        .field("plan", m_state.plan->version())
+        .field("servers", m_fleetTables.serversVersion())
+        .field("reads_again", m_state.peers.shouldReadStore(m_state.clock.now()) ? "store" : "peers");
+    m_state.metrics.increment(CounterFamily::Configurations, "store_restored");
+}
+
 void FleetSynchronizer::updateStoreStatus(Table table, const Result<RowBatch> &result)
 {
     const bool failed = !result && result.error().id != ErrorId::HistoryDropped;
@@ -424,6 +448,9 @@
     if (recordsChanged || evidenceChanged) {
         requestUrgentHeartbeat();
     }
+    if (heartbeat.serversVersion != StorePosition()) {
+        recordStoreIncarnation(heartbeat.serversVersion.incarnation(), "peer");
+    }
     m_snapshots.catchUp();
 }
 
@@ -467,6 +494,7 @@
 void FleetSynchronizer::removeExpired()
 {
     const TimePoint now = m_state.clock.now();
+    m_fleetTables.settleAfterRestore();
     m_state.backends.eraseRemoved(now);
     m_state.peers.removeSilent(now);
     m_state.partQuarantine.removeExpired(now);
--- a/src/app/node_registration.cpp
+++ b/src/app/node_registration.cpp
@@ -60,7 +60,7 @@
     }
     const TimePoint now = m_state.clock.now();
     const std::string ownAddress = PeerAddress{m_state.settings.peerAddress, m_state.settings.zone}.text();
-    RowVersion ownVersion;
+    StorePosition ownVersion;
     bool registered = false;
     m_nodes.clear();
     for (const StoredRow &row : nodes->rows) {
@@ -78,7 +78,7 @@
         co_return Outcome::Found;
     }
     RowWrite write{{NodesTable, m_state.settings.node.value()}, ownVersion, ownAddress, std::nullopt};
-    const Result<RowVersion> written = co_await m_rows.write(std::move(write));
+    const Result<StorePosition> written = co_await m_rows.write(std::move(write));
     if (!written) {
         co_return Failure(written.error());
     }
--- a/src/app/operator_api.cpp
+++ b/src/app/operator_api.cpp
@@ -83,7 +83,7 @@
     json::object object{{"currency", FreshnessNames.at(static_cast<std::size_t>(node.configuration().freshness()))}};
     object["version"] = inForce ? inForce->committed.row.version.value() : 0;
     object["digest"] = inForce ? inForce->committed.row.digest.value() : std::string();
-    object["epoch"] = inForce ? inForce->committed.epoch.value() : 0;
+    object["epoch"] = inForce ? inForce->committed.epoch.packed() : 0;
     const auto age = node.configuration().storeAge();
     object["store_read_ms_ago"] = age ? json::value(age->count()) : json::value(nullptr);
     return object;
--- a/src/app/snapshot_exchange.cpp
+++ b/src/app/snapshot_exchange.cpp
@@ -32,25 +32,44 @@
 
 } // namespace
 
+SnapshotExchange::FollowedTable SnapshotExchange::planTable()
+{
+    FollowedTable table;
+    table.name = "plan";
+    table.isNewer = [](const FrontHeartbeat &heartbeat, const FleetTables &tables) {
+        return heartbeat.planVersion > tables.planVersion();
+    };
+    table.ask = [](FleetSnapshotRequest &request, const FleetTables &tables) {
+        request.planVersion = tables.planVersion();
+    };
+    table.version = [](const FleetTables &tables) {
+        return std::to_string(tables.planVersion().value());
+    };
+    return table;
+}
+
+SnapshotExchange::FollowedTable SnapshotExchange::serversTable()
+{
+    FollowedTable table;
+    table.name = "servers";
+    table.isNewer = [](const FrontHeartbeat &heartbeat, const FleetTables &tables) {
+        return heartbeat.serversVersion > tables.serversVersion();
+    };
+    table.ask = [](FleetSnapshotRequest &request, const FleetTables &tables) {
+        request.serversVersion = tables.serversVersion();
+    };
+    table.version = [](const FleetTables &tables) {
+        return tables.serversVersion().text();
+    };
+    return table;
+}
+
 SnapshotExchange::SnapshotExchange(FrontState &state, FleetTables &tables, const NodeRegistration &registration, AuthenticatedLink &link)
     : m_state(state)
     , m_tables(tables)
     , m_registration(registration)
     , m_link(link)
-    , m_followedTables{FollowedTable{"plan",
-                           &FrontHeartbeat::planVersion,
-                           &FleetTables::planVersion,
-                           &FleetSnapshotRequest::planVersion,
-                           {},
-                           false,
-                           {}},
-          FollowedTable{"servers",
-              &FrontHeartbeat::serversVersion,
-              &FleetTables::serversVersion,
-              &FleetSnapshotRequest::serversVersion,
-              {},
-              false,
-              {}}}
+    , m_followedTables{planTable(), serversTable()}
     , m_transfers(new TransferToken())
 {
 }
@@ -67,7 +86,11 @@
 void SnapshotExchange::catchUp(FollowedTable &table)
 {
     const TimePoint now = m_state.clock.now();
-    const std::vector<SnapshotSource> sources = m_state.peers.findPeersWithNewerRows(table.reported, (m_tables.*table.known)(), now);
+    const std::vector<SnapshotSource> sources = m_state.peers.findPeersWithNewerRows(
+        [this, &table](const FrontHeartbeat &heartbeat) {
+            return table.isNewer(heartbeat, m_tables);
+        },
+        now);
     if (sources.empty()) {
         table.behindSince.reset();
         table.avoidUntil.clear();
@@ -95,7 +118,7 @@
     const TimePoint requestedAt = m_state.clock.now();
     FleetSnapshotRequest request;
     request.sender = m_state.settings.node;
-    request.*table.requested = (m_tables.*table.known)();
+    table.ask(request, m_tables);
     request.acceptsCompressedPlan = m_acceptsCompressedPlan;
     const Result<std::string> response = co_await m_link.sendRequest(peer, encodeFleetSnapshotRequest(request));
     const Duration avoidance = handleSnapshot(table, request, response, peer, requestedAt);
@@ -117,11 +140,11 @@
         m_state.metrics.increment(CounterFamily::Peers, "snapshot_busy");
         return std::chrono::milliseconds(std::uniform_int_distribution<int>(MinBusyAvoidanceMs, MaxBusyAvoidanceMs)(m_state.random));
     }
-    const RowVersion before = (m_tables.*table.known)();
+    const std::string before = table.version(m_tables);
     const bool wasCompressed = snapshot && !snapshot->compressedPlan.empty();
     const Result<void> applied = snapshot ? m_tables.applySnapshot(*snapshot, request) : Result<void>(Failure(snapshot.error()));
     LogEvent event(applied ? "peer.snapshot" : "peer.no_snapshot", applied ? LogEvent::Level::Info : LogEvent::Level::Warning);
-    event.field("table", table.name).field("peer", peer.text()).field("row_version", (m_tables.*table.known)());
+    event.field("table", table.name).field("peer", peer.text()).field("version", table.version(m_tables));
     event.field("before", before).field("bytes", response ? response->size() : 0);
     event.field("behind_ms", toMilliseconds(behind)).field("ms", toMilliseconds(now - requestedAt));
     m_state.metrics.increment(CounterFamily::Peers, applied ? "snapshot_received" : "snapshot_failed");
@@ -139,7 +162,7 @@
     if (onRowsAdopted) {
         onRowsAdopted();
     }
-    return (m_tables.*table.known)() > before ? Duration::zero() : FailureAvoidance;
+    return table.version(m_tables) != before ? Duration::zero() : FailureAvoidance;
 }
 
 // ---- requests of peers ----
@@ -166,9 +189,9 @@
 FleetSnapshot SnapshotExchange::makeSnapshot(const FleetSnapshotRequest &request)
 {
     FleetSnapshot snapshot = m_tables.makeSnapshot(request);
-    if (request.serversVersion && request.serversVersion->value() == 0) {
+    if (request.serversVersion && !request.serversVersion->exists()) {
         for (const auto &[key, address] : m_registration.nodes()) {
-            snapshot.nodes.push_back({key, address, RowVersion(), false});
+            snapshot.nodes.push_back({key, address, StorePosition(), false});
         }
     }
     return snapshot;
--- a/src/coordination/adoption.cpp
+++ b/src/coordination/adoption.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-RowVersion epochOf(const AdoptionView &view)
+StorePosition epochOf(const AdoptionView &view)
 {
-    return view.committed ? view.committed->epoch : RowVersion();
+    return view.committed ? view.committed->epoch : StorePosition();
 }
 
 bool isMajority(std::size_t count, std::size_t total)
@@ -59,7 +59,7 @@
     return view;
 }
 
-AdoptionView applyReportedEpoch(AdoptionView view, RowVersion epoch)
+AdoptionView applyReportedEpoch(AdoptionView view, StorePosition epoch)
 {
     view.highestReportedEpoch = std::max(view.highestReportedEpoch, epoch);
     return view;
@@ -78,7 +78,7 @@
 
 AdoptionView applyRead(AdoptionView view, const std::optional<CommittedConfiguration> &committed, TimePoint sentAt)
 {
-    const RowVersion epoch = committed ? committed->epoch : RowVersion();
+    const StorePosition epoch = committed ? committed->epoch : StorePosition();
     if (epoch < epochOf(view)) {
         return view;
     }
@@ -89,9 +89,9 @@
     return view;
 }
 
-AdoptionView applyRelayedRead(AdoptionView view, RowVersion epoch, TimePoint readAt)
+AdoptionView applyRelayedRead(AdoptionView view, StorePosition epoch, TimePoint readAt)
 {
-    if (epoch == epochOf(view) && epoch != RowVersion()) {
+    if (epoch == epochOf(view) && epoch != StorePosition()) {
         view.relayedReadAt = std::max(view.relayedReadAt.value_or(readAt), readAt);
     }
     return view;
--- a/src/coordination/claim_manager.cpp
+++ b/src/coordination/claim_manager.cpp
@@ -60,7 +60,7 @@
     return owner && owner->status != MemberStatus::Gone && owner->last.incarnation == row.ownerIncarnation;
 }
 
-ClaimTicket ClaimManager::makeSendTicket(const RowKey &key, RowVersion version, const ClaimRow &row)
+ClaimTicket ClaimManager::makeSendTicket(const RowKey &key, StorePosition version, const ClaimRow &row)
 {
     return {ClaimDecision::Send, key, version, row, Error()};
 }
@@ -68,7 +68,7 @@
 ClaimTicket ClaimManager::makeNotRunTicket(const RowKey &key, const ClaimRow &row, Error error)
 {
     removeRunning(key);
-    ClaimTicket ticket{ClaimDecision::NotRun, key, RowVersion(), row, std::move(error)};
+    ClaimTicket ticket{ClaimDecision::NotRun, key, StorePosition(), row, std::move(error)};
     if (ticket.error.delivery == Delivery::MaybeSent) {
         addPendingRelease(ticket);
     }
@@ -103,7 +103,7 @@
     {
         const std::lock_guard lock(m_mutex);
         if (!m_running.insert(rowKey).second) {
-            co_return ClaimTicket{ClaimDecision::InProgress, rowKey, RowVersion(), row, Error()};
+            co_return ClaimTicket{ClaimDecision::InProgress, rowKey, StorePosition(), row, Error()};
         }
     }
     co_return co_await insert(rowKey, row);
@@ -111,14 +111,14 @@
 
 asio::awaitable<ClaimTicket> ClaimManager::insert(RowKey key, ClaimRow row)
 {
-    const RowWrite write{key, RowVersion(), encodeClaim(row), std::nullopt};
+    const RowWrite write{key, StorePosition(), encodeClaim(row), std::nullopt};
     const WriteResult written = co_await writeConditionally(m_table, m_clock, write);
     switch (written.outcome) {
     case WriteOutcome::Written:
         co_return makeSendTicket(key, written.version, row);
     case WriteOutcome::Lost:
     case WriteOutcome::Superseded:
-        if (written.version != RowVersion()) {
+        if (written.version != StorePosition()) {
             const Row existing{written.version, written.text};
             co_return co_await resolveExisting(key, existing, row);
         }
@@ -203,7 +203,7 @@
     }
     ClaimRow row = ticket.row;
     row.state = ClaimState::NotSent;
-    RowVersion version;
+    StorePosition version;
     if (*read) {
         const Result<ClaimRow> present = decodeClaim((*read)->text);
         const bool isSameClaim = present && present->attempt == ticket.row.attempt;
--- a/src/coordination/conditional_write.cpp
+++ b/src/coordination/conditional_write.cpp
@@ -29,7 +29,11 @@
     if (history == SendHistory::AllRefused) {
         return WriteOutcome::Lost;
     }
-    const RowVersion present = row ? row->version : RowVersion();
+    const StorePosition present = row ? row->version : StorePosition();
+    // Versions of two incarnations are unrelated: a late write may still find the version that it expects.
+    if (write.expected.exists() && present.exists() && present.incarnation() != write.expected.incarnation()) {
+        return history == SendHistory::OneUnansweredOneRefused ? WriteOutcome::Superseded : WriteOutcome::Unknown;
+    }
     if (present > write.expected.next()) {
         return WriteOutcome::Superseded;
     }
@@ -45,14 +49,18 @@
     bool anyUnanswered = false;
     bool anyRefused = false;
     for (int attempt = 0; attempt < limits.attempts; ++attempt) {
-        const Result<RowVersion> written = co_await table.write(write);
-        if (written) {
+        const Result<StorePosition> written = co_await table.write(write);
+        // After a restore, the expected version may be that of another row text, and the write may precede the restore.
+        const bool isRestored = written && write.expected.exists() && written->incarnation() != write.expected.incarnation();
+        if (written && !isRestored) {
             co_return WriteResult{WriteOutcome::Written, *written, write.text, Error()};
         }
-        result.error = written.error();
-        anyRefused = anyRefused || written.error().id == ErrorId::Conflict;
-        anyUnanswered = anyUnanswered || written.error().delivery == Delivery::MaybeSent;
-        if (written.error().id != ErrorId::Conflict) {
+        if (!written) {
+            result.error = written.error();
+        }
+        anyRefused = anyRefused || (!written && written.error().id == ErrorId::Conflict);
+        anyUnanswered = anyUnanswered || isRestored || (!written && written.error().delivery == Delivery::MaybeSent);
+        if (!written && written.error().id != ErrorId::Conflict) {
             co_await clock.sleep(limits.pause);
         }
         const Result<std::optional<Row>> row = co_await table.read(write.key);
--- a/src/coordination/configuration_manager.cpp
+++ b/src/coordination/configuration_manager.cpp
@@ -164,7 +164,7 @@
     }
     cacheBody(offer.digest, offer.body);
     const std::lock_guard lock(m_mutex);
-    const RowVersion epoch = m_view.committed ? m_view.committed->epoch : RowVersion();
+    const StorePosition epoch = m_view.committed ? m_view.committed->epoch : StorePosition();
     if (offer.base < epoch) {
         return fail(ErrorId::Conflict,
             "config.hold",
@@ -255,7 +255,7 @@
         });
     }
     const std::optional<KnownOffer> offer = view().offer;
-    const bool isNewOffer = reported.offerBase != RowVersion() && (!offer || offer->digest != reported.offerDigest);
+    const bool isNewOffer = reported.offerBase != StorePosition() && (!offer || offer->digest != reported.offerDigest);
     if (isNewOffer) {
         updateView([&](const AdoptionView &view) {
             return applyOffer(view, {reported.offerBase, reported.offerDigest, m_dependencies.clock.now()});
@@ -325,7 +325,7 @@
     const bool isNewVersion = !present || present->committed.row.version != target->row.version;
     if (isNewVersion) {
         recordDecision(*target,
-            "the committed row has epoch " + std::to_string(target->epoch.value()),
+            "the committed row has epoch " + target->epoch.text(),
             "previous version " + (present ? std::to_string(present->committed.row.version.value()) : std::string("none")),
             "in_force");
         notifyChange();
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-LeaseView observeLease(LeaseView view, RowVersion version, std::optional<LeaseRow> row, TimePoint now)
+LeaseView observeLease(LeaseView view, StorePosition version, std::optional<LeaseRow> row, TimePoint now)
 {
     const bool isFirstRead = view.unchangedSince == TimePoint();
     if (!isFirstRead && version == view.version) {
@@ -59,7 +59,7 @@
     return row;
 }
 
-LeaseView recordLeaseWrite(LeaseView view, RowVersion version, LeaseRow row, TimePoint sentAt, TimePoint now, const LeaseTimes &times)
+LeaseView recordLeaseWrite(LeaseView view, StorePosition version, LeaseRow row, TimePoint sentAt, TimePoint now, const LeaseTimes &times)
 {
     view.version = version;
     view.row = std::move(row);
@@ -137,7 +137,7 @@
         co_return false;
     }
     std::optional<LeaseRow> row;
-    RowVersion version;
+    StorePosition version;
     if (*read) {
         const Result<LeaseRow> decoded = decodeLease((*read)->text);
         if (!decoded) {
--- a/src/coordination/order.cpp
+++ b/src/coordination/order.cpp
@@ -286,7 +286,7 @@
 {
     WriteResult written;
     written.outcome = WriteOutcome::Lost;
-    std::optional<RowVersion> guarded;
+    std::optional<StorePosition> guarded;
     while (written.outcome == WriteOutcome::Lost) {
         const std::optional<Authority> authority = m_lease.authority();
         const bool hasNewGuard = authority && authority->token == token && authority->lease.version != guarded;
@@ -300,7 +300,7 @@
     co_return written;
 }
 
-asio::awaitable<void> OrderManager::removePendingSender(const RowKey &key, OrderRow row, RowVersion version, FencingToken fencingToken)
+asio::awaitable<void> OrderManager::removePendingSender(const RowKey &key, OrderRow row, StorePosition version, FencingToken fencingToken)
 {
     constexpr int Attempts = 3;
     for (int attempt = 0; attempt < Attempts; ++attempt) {
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -411,11 +411,12 @@
     return precedingNodes < StoreReadersPerZone || now - *m_readersMissingSince >= delay;
 }
 
-std::vector<SnapshotSource> PeerTable::findPeersWithNewerRows(RowVersion FrontHeartbeat::*version, RowVersion known, TimePoint now) const
+std::vector<SnapshotSource> PeerTable::findPeersWithNewerRows(
+    const std::function<bool(const FrontHeartbeat &heartbeat)> &isNewer, TimePoint now) const
 {
     std::vector<SnapshotSource> sources;
     for (const auto &[address, peer] : m_peers) {
-        if (peer.heartbeat.*version > known && hasRecentHeartbeat(peer, m_timeouts.listTimeout, now)) {
+        if (isNewer(peer.heartbeat) && hasRecentHeartbeat(peer, m_timeouts.listTimeout, now)) {
             sources.push_back({address, isInOwnZone(peer)});
         }
     }
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -15,7 +15,7 @@
 {
 
 /// Version in a FleetSnapshotRequest of a table that is not requested.
-constexpr RowVersion NotRequested(std::numeric_limits<std::int64_t>::max());
+constexpr std::int64_t NotRequested = std::numeric_limits<std::int64_t>::max();
 
 wire::ServerLoad toWire(const ServerLoad &entry)
 {
@@ -173,7 +173,7 @@
         wire::StoredRow message;
         message.key = row.key;
         message.text = row.text;
-        message.version = row.version.value();
+        message.version = row.version.packed();
         message.removed = row.removed;
         messages.push_back(std::move(message));
     }
@@ -182,7 +182,7 @@
 void readRows(std::vector<StoredRow> &rows, std::vector<wire::StoredRow> &messages)
 {
     for (wire::StoredRow &message : messages) {
-        rows.push_back({std::move(message.key), std::move(message.text), RowVersion(message.version), message.removed});
+        rows.push_back({std::move(message.key), std::move(message.text), StorePosition::unpack(message.version), message.removed});
     }
 }
 
@@ -198,7 +198,7 @@
     message.ready = heartbeat.ready;
     message.leaving = heartbeat.shuttingDown;
     message.planVersion = heartbeat.planVersion.value();
-    message.serversVersion = heartbeat.serversVersion.value();
+    message.serversVersion = heartbeat.serversVersion.packed();
     message.lagMicros = heartbeat.timerLag.count();
     message.readsStore = heartbeat.readsStore;
     message.knownNodes = static_cast<std::int32_t>(heartbeat.knownNodes);
@@ -302,8 +302,8 @@
     heartbeat.peerAddress = *peerAddress;
     heartbeat.ready = message.ready;
     heartbeat.shuttingDown = message.leaving;
-    heartbeat.planVersion = RowVersion(message.planVersion);
-    heartbeat.serversVersion = RowVersion(message.serversVersion);
+    heartbeat.planVersion = ConfigurationVersion(message.planVersion);
+    heartbeat.serversVersion = StorePosition::unpack(message.serversVersion);
     heartbeat.readsStore = message.readsStore;
     heartbeat.timerLag = std::chrono::microseconds(message.lagMicros);
     heartbeat.knownNodes = static_cast<std::size_t>(std::max(message.knownNodes, 1));
@@ -355,8 +355,8 @@
 {
     wire::FleetSnapshotRequest message;
     message.sender = request.sender.value();
-    message.planVersion = request.planVersion.value_or(NotRequested).value();
-    message.serversVersion = request.serversVersion.value_or(NotRequested).value();
+    message.planVersion = request.planVersion ? request.planVersion->value() : NotRequested;
+    message.serversVersion = request.serversVersion ? request.serversVersion->packed() : NotRequested;
     message.__set_acceptsCompressedPlan(request.acceptsCompressedPlan);
     return toThriftBytes(message);
 }
@@ -367,11 +367,16 @@
     if (!message) {
         return Failure(message.error());
     }
-    const auto requested = [](std::int64_t version) {
-        return RowVersion(version) == NotRequested ? std::nullopt : std::optional(RowVersion(version));
-    };
-    return FleetSnapshotRequest{
-        NodeId(message->sender), requested(message->planVersion), requested(message->serversVersion), message->acceptsCompressedPlan};
+    FleetSnapshotRequest request;
+    request.sender = NodeId(message->sender);
+    request.acceptsCompressedPlan = message->acceptsCompressedPlan;
+    if (message->planVersion != NotRequested) {
+        request.planVersion = ConfigurationVersion(message->planVersion);
+    }
+    if (message->serversVersion != NotRequested) {
+        request.serversVersion = StorePosition::unpack(message->serversVersion);
+    }
+    return request;
 }
 
 std::string encodeFleetSnapshot(const FleetSnapshot &snapshot)
@@ -379,7 +384,7 @@
     wire::FleetSnapshot message;
     message.planVersion = snapshot.planVersion.value();
     message.plan = snapshot.plan;
-    message.serversVersion = snapshot.serversVersion.value();
+    message.serversVersion = snapshot.serversVersion.packed();
     writeRows(message.servers, snapshot.servers);
     writeRows(message.nodes, snapshot.nodes);
     if (!snapshot.compressedPlan.empty()) {
@@ -398,9 +403,9 @@
         return Failure(message.error());
     }
     FleetSnapshot snapshot;
-    snapshot.planVersion = RowVersion(message->planVersion);
+    snapshot.planVersion = ConfigurationVersion(message->planVersion);
     snapshot.plan = std::move(message->plan);
-    snapshot.serversVersion = RowVersion(message->serversVersion);
+    snapshot.serversVersion = StorePosition::unpack(message->serversVersion);
     readRows(snapshot.servers, message->servers);
     readRows(snapshot.nodes, message->nodes);
     snapshot.compressedPlan = std::move(message->compressedPlan);
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -13,10 +13,10 @@
 wire::ConfigurationClaim toWire(const ConfigurationState &state)
 {
     wire::ConfigurationClaim message;
-    message.epoch = state.epoch.value();
+    message.epoch = state.epoch.packed();
     message.version = state.version.value();
     message.digest = state.digest.value();
-    message.offerBaseEpoch = state.offerBase.value();
+    message.offerBaseEpoch = state.offerBase.packed();
     message.offerDigest = state.offerDigest.value();
     message.ready = state.ready;
     return message;
@@ -25,10 +25,10 @@
 ConfigurationState fromWire(const wire::ConfigurationClaim &message)
 {
     ConfigurationState state;
-    state.epoch = RowVersion(message.epoch);
+    state.epoch = StorePosition::unpack(message.epoch);
     state.version = ConfigurationVersion(message.version);
     state.digest = Digest(message.digest);
-    state.offerBase = RowVersion(message.offerBaseEpoch);
+    state.offerBase = StorePosition::unpack(message.offerBaseEpoch);
     state.offerDigest = Digest(message.offerDigest);
     state.ready = message.ready;
     return state;
@@ -37,7 +37,7 @@
 wire::Committed toWire(const CommittedConfiguration &committed)
 {
     wire::Committed message;
-    message.epoch = committed.epoch.value();
+    message.epoch = committed.epoch.packed();
     message.version = committed.row.version.value();
     message.digest = committed.row.digest.value();
     message.attempt = committed.row.attempt.value();
@@ -53,7 +53,7 @@
 CommittedConfiguration fromWire(const wire::Committed &message)
 {
     CommittedConfiguration committed;
-    committed.epoch = RowVersion(message.epoch);
+    committed.epoch = StorePosition::unpack(message.epoch);
     committed.row.version = ConfigurationVersion(message.version);
     committed.row.digest = Digest(message.digest);
     committed.row.attempt = WriteAttemptId(message.attempt);
@@ -107,7 +107,7 @@
     case wire::PeerRequestKind::FETCH_COMMITTED:
         return PeerRequest(FetchCommittedRequest{});
     case wire::PeerRequestKind::OFFER_BODY:
-        return PeerRequest(ConfigurationOffer{RowVersion(message.baseEpoch), Digest(message.digest), message.body});
+        return PeerRequest(ConfigurationOffer{StorePosition::unpack(message.baseEpoch), Digest(message.digest), message.body});
     }
     return fail(ErrorId::InvalidField, "peer.decode_request", peer, "unknown kind of request; check that all nodes run the same version");
 }
@@ -176,7 +176,7 @@
     } else if (const auto *offer = std::get_if<ConfigurationOffer>(&request)) {
         message.kind = wire::PeerRequestKind::OFFER_BODY;
         message.digest = offer->digest.value();
-        message.baseEpoch = offer->base.value();
+        message.baseEpoch = offer->base.packed();
         message.body = offer->body;
     } else {
         message.kind = wire::PeerRequestKind::FETCH_COMMITTED;
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -61,17 +61,18 @@
         co_return Failure(value.error());
     }
     JsonObjectReader object(*value, Step, m_access.endpoint.text());
-    Row row{RowVersion(object.number("version")), object.text("text")};
+    Row row{StorePosition(object.number("version")), object.text("text")};
     co_return object.finish(std::optional<Row>(std::move(row)));
 }
 
-asio::awaitable<Result<RowVersion>> PlatformTable::write(RowWrite write)
+asio::awaitable<Result<StorePosition>> PlatformTable::write(RowWrite write)
 {
     constexpr const char *Step = "table.write";
-    json::object body{{"table", write.key.table}, {"key", write.key.key}, {"expected", write.expected.value()}, {"text", write.text}};
+    json::object body{
+        {"table", write.key.table}, {"key", write.key.key}, {"expected", write.expected.version().value()}, {"text", write.text}};
     if (write.guard) {
-        body["guard"] =
-            json::object{{"table", write.guard->key.table}, {"key", write.guard->key.key}, {"version", write.guard->version.value()}};
+        body["guard"] = json::object{
+            {"table", write.guard->key.table}, {"key", write.guard->key.key}, {"version", write.guard->version.version().value()}};
     }
     const auto response =
         co_await m_client.exchange(m_access.endpoint, jsonPost("/v1/rows/write", json::serialize(body)), m_access.timeout);
@@ -90,7 +91,7 @@
         co_return failureForStatus(*response, Step, m_access.endpoint);
     }
     JsonObjectReader object(*value, Step, m_access.endpoint.text());
-    const RowVersion version(object.number("version"));
+    const StorePosition version(object.number("version"));
     if (!object.finish()) {
         co_return failureForStatus(*response, Step, m_access.endpoint);
     }
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -76,7 +76,7 @@
             co_await respondNotFound(responder);
             co_return;
         }
-        const json::object body{{"version", row->version.value()}, {"text", row->text}};
+        const json::object body{{"version", row->version.version().value()}, {"text", row->text}};
         (void)co_await responder.respond(jsonResponse(200, json::serialize(body)));
     }
 
@@ -84,16 +84,17 @@
     {
         const json::value value = parseJson(request.body, "platform.write", request.peer).value_or(json::value());
         JsonObjectReader object(value, "platform.write", request.peer);
-        RowWrite row{{object.text("table"), object.text("key")}, RowVersion(object.number("expected")), object.text("text"), std::nullopt};
+        RowWrite row{
+            {object.text("table"), object.text("key")}, StorePosition(object.number("expected")), object.text("text"), std::nullopt};
         if (object.has("guard")) {
             JsonObjectReader guard(object.value("guard"), "platform.write", request.peer);
-            row.guard = RowGuard{{guard.text("table"), guard.text("key")}, RowVersion(guard.number("version"))};
+            row.guard = RowGuard{{guard.text("table"), guard.text("key")}, StorePosition(guard.number("version"))};
         }
         if (!object.finish()) {
             (void)co_await responder.respond(jsonResponse(400, "{}"));
             co_return;
         }
-        RowVersion version;
+        StorePosition version;
         const StoreOutcome outcome = m_store.write(row, version);
         if (outcome != StoreOutcome::Done) {
             (void)co_await responder.respond(jsonResponse(outcome == StoreOutcome::Conflict ? 409 : 429, "{}"));
@@ -103,7 +104,7 @@
             responder.abort();
             co_return;
         }
-        const json::object body{{"version", version.value()}};
+        const json::object body{{"version", version.version().value()}};
         (void)co_await responder.respond(jsonResponse(200, json::serialize(body)));
     }
 
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -27,10 +27,10 @@
 {
 }
 
-RowVersion PlatformStore::versionOf(const RowKey &key) const
+StorePosition PlatformStore::versionOf(const RowKey &key) const
 {
     const auto found = m_rows.find(key);
-    return found == m_rows.end() ? RowVersion() : found->second.version;
+    return found == m_rows.end() ? StorePosition() : found->second.version;
 }
 
 std::optional<Row> PlatformStore::read(const RowKey &key) const
@@ -46,7 +46,7 @@
     return m_readBucket.tryTake(m_limits.readsPerSecond, m_clock.now());
 }
 
-StoreOutcome PlatformStore::write(const RowWrite &write, RowVersion &version)
+StoreOutcome PlatformStore::write(const RowWrite &write, StorePosition &version)
 {
     const std::lock_guard lock(m_mutex);
     if (!m_writeBucket.tryTake(m_limits.writesPerSecond, m_clock.now())) {
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -51,7 +51,7 @@
     [[nodiscard]] std::optional<Row> read(const RowKey &key) const;
 
     /// Applies a conditional write. @param version set to the new version on success
-    [[nodiscard]] StoreOutcome write(const RowWrite &write, RowVersion &version);
+    [[nodiscard]] StoreOutcome write(const RowWrite &write, StorePosition &version);
 
     /// Returns whether the rate limit allows another read now, and counts the read if so.
     [[nodiscard]] bool tryTakeRead();
@@ -87,7 +87,7 @@
         [[nodiscard]] bool tryTake(double rate, TimePoint now);
     };
 
-    [[nodiscard]] RowVersion versionOf(const RowKey &key) const;
+    [[nodiscard]] StorePosition versionOf(const RowKey &key) const;
 
     const Clock &m_clock;
     PlatformLimits m_limits;
--- a/tests/fakes/fake_table.h
+++ b/tests/fakes/fake_table.h
@@ -63,7 +63,7 @@
         co_return row;
     }
 
-    [[nodiscard]] asio::awaitable<Result<RowVersion>> write(RowWrite write) override
+    [[nodiscard]] asio::awaitable<Result<StorePosition>> write(RowWrite write) override
     {
         const TableBehavior current = behavior(true);
         if (current.fault == TableFault::RequestLate) {
@@ -75,7 +75,7 @@
         if (current.fault == TableFault::Unreachable || current.fault == TableFault::RequestLost) {
             co_return unavailable(current.fault);
         }
-        RowVersion version;
+        StorePosition version;
         const bool isWritten = m_store.write(write, version) == standins::StoreOutcome::Done;
         co_await m_loop.clock.sleep(current.answerDelay);
         if (current.fault == TableFault::AnswerLost) {
@@ -91,7 +91,7 @@
     asio::awaitable<void> applyLater(RowWrite write, Duration delay)
     {
         co_await m_loop.clock.sleep(delay);
-        RowVersion version;
+        StorePosition version;
         (void)m_store.write(write, version);
     }
 
--- a/tests/src/unit-codec.cpp
+++ b/tests/src/unit-codec.cpp
@@ -26,8 +26,8 @@
     heartbeat.zone = ZoneId("a");
     heartbeat.callerAddress = {"127.0.0.1", 1};
     heartbeat.peerAddress = {"127.0.0.1", 2};
-    heartbeat.configuration.epoch = RowVersion(3);
-    heartbeat.configuration.offerBase = RowVersion(3);
+    heartbeat.configuration.epoch = StorePosition(3);
+    heartbeat.configuration.offerBase = StorePosition(3);
     heartbeat.outstanding.push_back({ReplicaId("e"), {2, Tokens(30), Tokens(40)}});
     heartbeat.crashRecords.push_back({ContentHash(-7), 2, std::chrono::milliseconds(100)});
     heartbeat.drainingReplicas.emplace_back("e");
@@ -47,7 +47,7 @@
     const Heartbeat decoded = decodeHeartbeat(encodeHeartbeat(heartbeat), "test").value();
     BOOST_TEST(decoded.node.value() == "node-1");
     BOOST_TEST(decoded.sequence == 9);
-    BOOST_TEST((decoded.configuration.offerBase == RowVersion(3)));
+    BOOST_TEST((decoded.configuration.offerBase == StorePosition(3)));
     BOOST_TEST(decoded.outstanding[0].outstanding.requests == 2);
     BOOST_TEST((decoded.crashRecords[0].content == ContentHash(-7)));
     BOOST_TEST(decoded.echo->sequence == 4);
--- a/tests/src/unit-configuration.cpp
+++ b/tests/src/unit-configuration.cpp
@@ -236,7 +236,7 @@
     cluster.partition.heal();
     cluster.run(4s);
     BOOST_TEST(cluster.versionAt(0) == 1);
-    BOOST_TEST((cluster.node(0).configuration.reportedState().offerBase == RowVersion()));
+    BOOST_TEST((cluster.node(0).configuration.reportedState().offerBase == StorePosition()));
 }
 
 BOOST_AUTO_TEST_CASE(is_accepted_after_the_loss_of_a_node_that_accepted_the_first_configuration_alone)
@@ -265,14 +265,14 @@
     BOOST_REQUIRE(cluster.node(0).configuration.storeOffer(offer).has_value());
     cluster.run(8s);
     for (std::size_t index = 0; index < 3; ++index) {
-        BOOST_TEST((cluster.node(index).configuration.reportedState().offerBase == RowVersion()));
+        BOOST_TEST((cluster.node(index).configuration.reportedState().offerBase == StorePosition()));
     }
 }
 
 BOOST_AUTO_TEST_CASE(whose_body_does_not_match_its_digest_is_rejected)
 {
     SettledCluster cluster;
-    const ConfigurationOffer offer{RowVersion(9), Digest("00"), encodeConfiguration(smallConfiguration("two"))};
+    const ConfigurationOffer offer{StorePosition(9), Digest("00"), encodeConfiguration(smallConfiguration("two"))};
     BOOST_TEST(!cluster.node(0).configuration.storeOffer(offer).has_value());
 }
 
@@ -282,8 +282,8 @@
 
 BOOST_AUTO_TEST_CASE(a_row_of_an_earlier_epoch_is_ignored)
 {
-    const CommittedConfiguration later{RowVersion(5), {ConfigurationVersion(3), Digest("b"), {}, WriteAttemptId()}};
-    const CommittedConfiguration earlier{RowVersion(4), {ConfigurationVersion(2), Digest("a"), {}, WriteAttemptId()}};
+    const CommittedConfiguration later{StorePosition(5), {ConfigurationVersion(3), Digest("b"), {}, WriteAttemptId()}};
+    const CommittedConfiguration earlier{StorePosition(4), {ConfigurationVersion(2), Digest("a"), {}, WriteAttemptId()}};
     const AdoptionView view = applyCommitted(applyCommitted(AdoptionView(), later), earlier);
     BOOST_TEST((view.committed->row.version == ConfigurationVersion(3)));
 }
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -55,7 +55,7 @@
         co_return batch;
     }
 
-    asio::awaitable<Result<RowBatch>> readChanges(std::string table, RowVersion after, Duration wait) override
+    asio::awaitable<Result<RowBatch>> readChanges(std::string table, StorePosition after, Duration wait) override
     {
         waits[table] = wait;
         co_await m_clock.sleep(std::min<Duration>(std::max<Duration>(wait, 1ms), 200ms));
@@ -66,6 +66,9 @@
         if (failing.contains(table)) {
             co_return fail(failing[table], "store.read_changes", "store", "failure injected by the test");
         }
+        if (after.incarnation() != version.incarnation()) {
+            co_return fail(ErrorId::HistoryDropped, "store.read_changes", "store", "the store has been restored");
+        }
         RowBatch batch;
         batch.version = version;
         for (const StoredRow &row : rows[table]) {
@@ -76,6 +79,11 @@
         co_return batch;
     }
 
+    [[nodiscard]] StoreIncarnation incarnation() const override
+    {
+        return version.incarnation();
+    }
+
     asio::awaitable<bool> isReachable() override
     {
         co_return !partitioned;
@@ -86,7 +94,7 @@
         co_return std::optional<Row>();
     }
 
-    asio::awaitable<Result<RowVersion>> write(RowWrite write) override
+    asio::awaitable<Result<StorePosition>> write(RowWrite write) override
     {
         if (beforeWrite) {
             std::exchange(beforeWrite, nullptr)();
@@ -103,7 +111,7 @@
     Duration answerDelay{0}; ///< Time that the answer to a full read takes; its rows are those at the time of the call.
     std::map<std::string, int> fullReads;
     std::map<std::string, Duration> waits; ///< Wait time of the last call for changes, by table.
-    RowVersion version{1};
+    StorePosition version{1};
 
 private:
     Clock &m_clock;
@@ -197,7 +205,23 @@
 
 StoredRow row(const char *key, const char *text, std::int64_t version)
 {
-    return {key, text, RowVersion(version), false};
+    return {key, text, StorePosition(version), false};
+}
+
+/// A position after the store has been restored once.
+StorePosition restored(std::int64_t version)
+{
+    return {StoreIncarnation(1), RowVersion(version)};
+}
+
+/// Returns the ids of the servers that a node uses.
+std::set<std::string> usableServers(const Node &node, TimePoint now)
+{
+    std::set<std::string> ids;
+    for (const BackendPointer &server : node.state.backends.selectUsable(ServiceId("desk"), now)) {
+        ids.insert(server->record.id.value());
+    }
+    return ids;
 }
 
 /// A peer at 127.0.0.9 that has newer rows. It answers requests for servers, but does not finish the transfer of its configuration.
@@ -212,7 +236,7 @@
         asio::co_spawn(m_acceptor.get_executor(), serve(), asio::detached);
     }
 
-    void sendHeartbeat(const Endpoint &receiver, RowVersion plan, RowVersion servers)
+    void sendHeartbeat(const Endpoint &receiver, ConfigurationVersion plan, StorePosition servers)
     {
         FrontHeartbeat heartbeat;
         heartbeat.node = NodeId("slow");
@@ -243,7 +267,7 @@
             const Result<FleetSnapshotRequest> request = decodeFleetSnapshotRequest(*bytes, "peer");
             if (request->planVersion && damagesCompressedPlans) {
                 FleetSnapshot snapshot;
-                snapshot.planVersion = RowVersion(8);
+                snapshot.planVersion = ConfigurationVersion(9);
                 (request->acceptsCompressedPlan ? snapshot.compressedPlan : snapshot.plan) =
                     request->acceptsCompressedPlan ? "damaged" : "9";
                 co_await reply(connection, snapshot);
@@ -289,16 +313,16 @@
     Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
     BOOST_TEST(!node.state.isReady());
     node.tables.rows[PlanTable] = {row("config", "3", 5)};
-    node.tables.version = RowVersion(5);
+    node.tables.version = StorePosition(5);
     simulation.advance(1s);
     BOOST_TEST(node.state.plan->version() == 3);
     BOOST_TEST(node.state.isReady());
     node.tables.rows[PlanTable] = {row("config", "2", 6)};
-    node.tables.version = RowVersion(6);
+    node.tables.version = StorePosition(6);
     simulation.advance(1s);
     BOOST_TEST(node.state.plan->version() == 3);
     node.tables.rows[PlanTable] = {row("config", "9", 7)};
-    node.tables.version = RowVersion(7);
+    node.tables.version = StorePosition(7);
     simulation.advance(1s);
     BOOST_TEST(node.state.plan->version() == 9);
 }
@@ -324,7 +348,7 @@
     Simulation simulation;
     Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
     node.tables.rows[PlanTable] = {row("config", "3", 5)};
-    node.tables.version = RowVersion(5);
+    node.tables.version = StorePosition(5);
     simulation.advance(2s);
     BOOST_TEST((node.tables.waits[PlanTable] > 1s));
     node.tables.failing[PlanTable] = ErrorId::TimedOut;
@@ -342,7 +366,7 @@
     disconnected.tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
     connected.tables.rows[PlanTable] = {row("config", "3", 5)};
     connected.tables.rows[ServersTable] = {row("i-1", "r", 6)};
-    connected.tables.version = RowVersion(6);
+    connected.tables.version = StorePosition(6);
     for (int second = 0; second < 5 && disconnected.state.plan->version() != 3; ++second) {
         simulation.advance(1s);
     }
@@ -350,7 +374,7 @@
     BOOST_TEST(disconnected.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now()).size() == 1U);
     // A server that starts to drain later is reported as a change.
     connected.tables.rows[ServersTable] = {row("i-1", "d", 8)};
-    connected.tables.version = RowVersion(8);
+    connected.tables.version = StorePosition(8);
     for (int second = 0; second < 5; ++second) {
         simulation.advance(1s);
     }
@@ -444,6 +468,98 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_restored_store)
+
+BOOST_AUTO_TEST_CASE(that_gives_out_versions_again_does_not_hide_the_next_configuration)
+{
+    // Row versions were compared as numbers: no configuration was adopted until the store's versions had passed those before its restore.
+    Simulation simulation;
+    Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    node.tables.rows[PlanTable] = {row("config", "11", 30)};
+    node.tables.version = StorePosition(30);
+    simulation.advance(1s);
+    BOOST_REQUIRE(node.state.plan->version() == 11);
+    node.tables.rows[PlanTable] = {{"config", "9", restored(20), false}};
+    node.tables.version = restored(25);
+    simulation.advance(1s);
+    BOOST_TEST(node.state.plan->version() == 11);
+    BOOST_TEST(node.state.metrics.count(CounterFamily::Configurations, "store_restored") == 1U);
+    node.tables.rows[PlanTable] = {{"config", "14", restored(26), false}};
+    node.tables.version = restored(26);
+    simulation.advance(1s);
+    BOOST_TEST(node.state.plan->version() == 14);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_hide_the_next_configuration_from_a_node_that_reads_from_peers)
+{
+    Simulation simulation;
+    Node reading(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    Node following(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
+    following.tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
+    reading.tables.rows[PlanTable] = {row("config", "11", 30)};
+    reading.tables.rows[ServersTable] = {row("i-1", "r", 29)};
+    reading.tables.version = StorePosition(30);
+    for (int second = 0; second < 5; ++second) {
+        simulation.advance(1s);
+    }
+    BOOST_REQUIRE(following.state.plan->version() == 11);
+    reading.tables.rows[PlanTable] = {{"config", "14", restored(26), false}};
+    reading.tables.rows[ServersTable] = {{"i-1", "d", restored(25), false}};
+    reading.tables.version = restored(26);
+    for (int second = 0; second < 4; ++second) {
+        simulation.advance(1s);
+    }
+    BOOST_TEST(following.state.plan->version() == 14);
+    BOOST_TEST(usableServers(following, simulation.clock.now()).empty());
+    BOOST_TEST(following.state.metrics.count(CounterFamily::Configurations, "store_restored") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_leave_a_node_that_starts_into_it_with_an_older_configuration)
+{
+    // The copy contains an older configuration than the one that the other nodes have in force.
+    Simulation simulation;
+    Node running(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    running.tables.rows[PlanTable] = {row("config", "11", 30)};
+    running.tables.version = StorePosition(30);
+    simulation.advance(1s);
+    running.tables.rows[PlanTable] = {{"config", "9", restored(20), false}};
+    running.tables.version = restored(25);
+    simulation.advance(1s);
+    Node started(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
+    started.tables.rows = running.tables.rows;
+    started.tables.version = running.tables.version;
+    for (int second = 0; second < 4; ++second) {
+        simulation.advance(1s);
+    }
+    BOOST_TEST(running.state.plan->version() == 11);
+    BOOST_TEST(started.state.plan->version() == 11);
+}
+
+BOOST_AUTO_TEST_CASE(restored_twice_in_a_row_still_delivers_the_next_configuration)
+{
+    Simulation simulation;
+    Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    node.tables.rows[PlanTable] = {row("config", "11", 30)};
+    node.tables.version = StorePosition(30);
+    simulation.advance(1s);
+    for (std::int64_t incarnation = 1; incarnation <= 2; ++incarnation) {
+        const auto position = [incarnation](std::int64_t version) {
+            return StorePosition(StoreIncarnation(incarnation), RowVersion(version));
+        };
+        const std::int64_t version = 20 - 5 * incarnation;
+        node.tables.rows[PlanTable] = {{"config", "9", position(version), false}};
+        node.tables.version = position(version);
+        simulation.advance(1s);
+        const std::string next = std::to_string(11 + incarnation);
+        node.tables.rows[PlanTable] = {{"config", next, position(version + 1), false}};
+        node.tables.version = position(version + 1);
+        simulation.advance(1s);
+        BOOST_TEST(node.state.plan->version() == 11 + incarnation);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(a_server_that_leaves_is_learned_of_while_the_configuration_is_still_being_transferred)
 {
     // Servers' rows travelled behind a large configuration in one message; requests reached servers 3.3 s after they had announced their
@@ -453,12 +569,12 @@
     Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
     node.tables.rows[PlanTable] = {row("config", "3", 5)};
     node.tables.rows[ServersTable] = {row("i-1", "r", 6)};
-    node.tables.version = RowVersion(6);
+    node.tables.version = StorePosition(6);
     simulation.advance(1s);
     node.tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
     peer.servers = {row("i-1", "d", 9)};
     for (int second = 0; second < 3; ++second) {
-        peer.sendHeartbeat(node.state.settings.peerAddress, RowVersion(8), RowVersion(9));
+        peer.sendHeartbeat(node.state.settings.peerAddress, ConfigurationVersion(8), StorePosition(9));
         simulation.advance(500ms);
     }
     BOOST_TEST(peer.configurationsRequested > 0);
@@ -476,7 +592,7 @@
     for (Node *node : {&first, &second, &follower}) {
         node->tables.rows[PlanTable] = {row("config", "3", 5)};
         node->tables.rows[ServersTable] = {row("i-1", "r", 6)};
-        node->tables.version = RowVersion(6);
+        node->tables.version = StorePosition(6);
     }
     for (int second = 0; second < 5; ++second) {
         simulation.advance(1s);
@@ -488,7 +604,7 @@
         simulation.advance(100ms);
     }
     follower.tables.rows[ServersTable] = {row("i-1", "d", 8)};
-    follower.tables.version = RowVersion(8);
+    follower.tables.version = StorePosition(8);
     for (int step = 0; step < 16; ++step) {
         simulation.advance(100ms);
     }
@@ -502,11 +618,11 @@
     peer.damagesCompressedPlans = true;
     Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
     node.tables.rows[PlanTable] = {row("config", "3", 5)};
-    node.tables.version = RowVersion(5);
+    node.tables.version = StorePosition(5);
     simulation.advance(1s);
     node.tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
     for (int heartbeat = 0; heartbeat < 5; ++heartbeat) {
-        peer.sendHeartbeat(node.state.settings.peerAddress, RowVersion(8), RowVersion(0));
+        peer.sendHeartbeat(node.state.settings.peerAddress, ConfigurationVersion(9), StorePosition(0));
         simulation.advance(500ms);
     }
     BOOST_TEST(node.state.plan->version() == 9);
@@ -520,7 +636,7 @@
     ScriptedPeer peer(simulation);
     Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
     node.tables.rows[ServersTable] = {row("i-1", "r", 6), row("i-2", "r", 7)};
-    node.tables.version = RowVersion(7);
+    node.tables.version = StorePosition(7);
     simulation.advance(1s);
     node.tables.failing[ServersTable] = ErrorId::HistoryDropped;
     simulation.advance(300ms);
@@ -529,7 +645,7 @@
     simulation.advance(300ms);
     peer.servers = {row("i-1", "d", 9), row("i-3", "r", 10)};
     for (int heartbeat = 0; heartbeat < 3; ++heartbeat) {
-        peer.sendHeartbeat(node.state.settings.peerAddress, RowVersion(0), RowVersion(10));
+        peer.sendHeartbeat(node.state.settings.peerAddress, ConfigurationVersion(0), StorePosition(10));
         simulation.advance(500ms);
     }
     const auto usable = [&] {
@@ -551,11 +667,11 @@
     Simulation simulation;
     Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
     node.tables.rows[ServersTable] = {row("i-1", "r", 2), row("i-2", "r", 3)};
-    node.tables.version = RowVersion(3);
+    node.tables.version = StorePosition(3);
     simulation.advance(1s);
     BOOST_TEST(node.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now()).size() == 2U);
     node.tables.rows[ServersTable] = {row("i-1", "?", 4), row("i-2", "r", 3)};
-    node.tables.version = RowVersion(4);
+    node.tables.version = StorePosition(4);
     simulation.advance(1s);
     const auto usable = node.state.backends.selectUsable(ServiceId("desk"), simulation.clock.now());
     BOOST_REQUIRE(usable.size() == 1U);
@@ -568,10 +684,10 @@
     Simulation simulation;
     Node reading(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
     reading.tables.rows[ServersTable] = {row("i-1", "r", 2), row("i-2", "r", 3)};
-    reading.tables.version = RowVersion(3);
+    reading.tables.version = StorePosition(3);
     simulation.advance(1s);
     reading.tables.rows[ServersTable] = {row("i-1", "?", 4), row("i-2", "r", 3)};
-    reading.tables.version = RowVersion(4);
+    reading.tables.version = StorePosition(4);
     simulation.advance(1s);
     Node started(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
     started.tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
--- a/tests/src/unit-front_policy.cpp
+++ b/tests/src/unit-front_policy.cpp
@@ -203,16 +203,23 @@
 {
     PeerTable peers(selfIdentity(), PeerTimeouts());
     FrontHeartbeat heartbeat = heartbeatOf("a", 1000);
-    heartbeat.planVersion = RowVersion(5);
+    heartbeat.planVersion = ConfigurationVersion(5);
     (void)peers.recordHeartbeat(heartbeat, Start);
     const auto find = [&peers](std::int64_t known, TimePoint now) {
-        return peers.findPeersWithNewerRows(&FrontHeartbeat::planVersion, RowVersion(known), now);
+        return peers.findPeersWithNewerRows(
+            [known](const FrontHeartbeat &sent) {
+                return sent.planVersion > ConfigurationVersion(known);
+            },
+            now);
     };
     BOOST_TEST(find(5, Start).empty());
     BOOST_REQUIRE(find(4, Start).size() == 1U);
     BOOST_TEST(find(4, Start).front().address.port == 1001);
     BOOST_TEST(find(4, Start + 10s).empty());
-    BOOST_TEST(peers.findPeersWithNewerRows(&FrontHeartbeat::serversVersion, RowVersion(0), Start).empty());
+    const auto hasServers = [](const FrontHeartbeat &sent) {
+        return sent.serversVersion > StorePosition();
+    };
+    BOOST_TEST(peers.findPeersWithNewerRows(hasServers, Start).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/src/unit-partial_view.cpp
+++ b/tests/src/unit-partial_view.cpp
@@ -205,8 +205,8 @@
         heartbeat.callerAddress = node.identity.peerAddress;
         heartbeat.peerAddress = node.identity.peerAddress;
         heartbeat.ready = true;
-        heartbeat.planVersion = RowVersion(1'000'000);
-        heartbeat.serversVersion = RowVersion(1'000'000);
+        heartbeat.planVersion = ConfigurationVersion(1'000'000);
+        heartbeat.serversVersion = StorePosition(1'000'000);
         heartbeat.readsStore = node.storeReachable && node.peers.shouldReadStore(m_now);
         heartbeat.prefillRates[ServiceId("dressing-desk")] = 1;
         heartbeat.eventRates[ServiceId("dressing-desk")] = 1;
--- a/tests/src/unit-snapshot_exchange.cpp
+++ b/tests/src/unit-snapshot_exchange.cpp
@@ -20,7 +20,7 @@
 RowDecoders testDecoders()
 {
     const auto plan = [](const std::string & /*text*/) -> Result<RoutingPlan> {
-        return RoutingPlan(1, {}, {}, {});
+        return RoutingPlan(7, {}, {}, {});
     };
     const auto server = [](const std::string &key, const std::string & /*text*/) -> Result<BackendRecord> {
         BackendRecord record;
@@ -37,7 +37,7 @@
     {
         co_return RowBatch{};
     }
-    asio::awaitable<Result<RowBatch>> readChanges(std::string /*table*/, RowVersion /*after*/, Duration /*wait*/) override
+    asio::awaitable<Result<RowBatch>> readChanges(std::string /*table*/, StorePosition /*after*/, Duration /*wait*/) override
     {
         co_return RowBatch{};
     }
@@ -49,19 +49,19 @@
     {
         co_return std::optional<Row>();
     }
-    asio::awaitable<Result<RowVersion>> write(RowWrite /*write*/) override
+    asio::awaitable<Result<StorePosition>> write(RowWrite /*write*/) override
     {
-        co_return RowVersion();
+        co_return StorePosition();
     }
 };
 
-/// A node that has a configuration with row version 7 and a server with row version 9.
+/// A node that has a configuration of version 7 and a server with row version 9.
 struct SourceNode
 {
     SourceNode()
     {
-        tables.applyPlanRows({{"config", PlanText, RowVersion(7), false}});
-        tables.applyServerRows({{"i-1", "ready", RowVersion(9), false}}, RowVersion(9), true);
+        tables.applyPlanRows({{"config", PlanText, StorePosition(7), false}});
+        tables.applyServerRows({{"i-1", "ready", StorePosition(9), false}}, StorePosition(9), true);
     }
 
     [[nodiscard]] std::optional<FrameReply> reply(const FleetSnapshotRequest &request)
@@ -89,8 +89,8 @@
     SnapshotExchange exchange{state, tables, registration, link};
 };
 
-const FleetSnapshotRequest PlanRequest{NodeId("n"), RowVersion(5), std::nullopt, true};
-const FleetSnapshotRequest ServersRequest{NodeId("n"), std::nullopt, RowVersion(5), true};
+const FleetSnapshotRequest PlanRequest{NodeId("n"), ConfigurationVersion(5), std::nullopt, true};
+const FleetSnapshotRequest ServersRequest{NodeId("n"), std::nullopt, StorePosition(5), true};
 
 bool avoidNone(const Endpoint & /*peer*/)
 {
@@ -184,9 +184,9 @@
 {
     SourceNode node;
     FleetSnapshot answer;
-    answer.serversVersion = RowVersion(20);
+    answer.serversVersion = StorePosition(20);
     BOOST_TEST(node.tables.applySnapshot(answer, PlanRequest).has_value());
-    BOOST_TEST(node.tables.serversVersion().value() == 9);
+    BOOST_TEST(node.tables.serversVersion() == StorePosition(9));
 }
 
 BOOST_AUTO_TEST_SUITE(compressed_texts)
