Take no lease across a restore of the store

A new incarnation of the store ends authority at once. A process that sees it takes no lease before the duration of a lease has passed; a process that starts waits as well, unless the store has never been restored. Fencing tokens hold the incarnation in their upper bits, so they exceed all tokens that were lost. A write that the restored store answers gives no authority.

Tests: lease/after_a_restore_of_the_store; they need the restores that the stand-in now has and were not run against the code before.

--- a/include/apricotarch/coordination/lease.h
+++ b/include/apricotarch/coordination/lease.h
@@ -8,6 +8,10 @@
  * measures it from a moment after it first read the row in its present version. The first moment precedes the second, and the
  * holder stops acting a safety margin before the lease ends. Therefore the periods of authority of two processes do not overlap.
  *
+ * A restored store may have lost the row's last writes. A new incarnation of the store therefore ends authority, and no process takes the
+ * lease in it before the duration of a lease has passed since the process first saw it, even if the copy shows a free lease. Fencing tokens
+ * contain the incarnation, so they exceed those that were lost.
+ *
  * The pure functions implement the transitions of models/lease_orders.pml.
  */
 
@@ -47,8 +51,10 @@
 /// The state of one lease as last observed by one process.
 struct LeaseView
 {
-    StorePosition version; ///< Version of the row at the last read or write; 0 if there was no row.
+    StorePosition version; ///< Position of the row at the last read or write; without a version if there was no row.
     std::optional<LeaseRow> row; ///< Content of the row at the last read or write.
+    std::optional<TimePoint>
+        restoredAt; ///< When this process first saw the present incarnation of the store, unless that is the first one.
     TimePoint unchangedSince; ///< Time after the first read that returned the row in this version.
     std::optional<TimePoint> authorityExpiresAt; ///< Set while this process holds the lease.
     TimePoint renewedAt; ///< Time before this process sent its last successful write.
@@ -64,12 +70,15 @@
 /**
  * Updates a view with the result of a read.
  * @param view the view before the read
- * @param version version of the row; 0 if there is no row
+ * @param version position of the row; only the incarnation of the store if there is no row
  * @param row content of the row, if there is one
  * @param now a moment after the read
  */
 [[nodiscard]] LeaseView observeLease(LeaseView view, StorePosition version, std::optional<LeaseRow> row, TimePoint now);
 
+/// Returns the token that every token of earlier incarnations of the store is below.
+[[nodiscard]] FencingToken firstToken(StoreIncarnation incarnation) noexcept;
+
 /// Selects the next action for the process @p self.
 [[nodiscard]] LeaseStep selectLeaseStep(const LeaseView &view, const ProcessId &self, TimePoint now, const LeaseTimes &times);
 
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -1,5 +1,6 @@
 #include "apricotarch/coordination/lease.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "apricotarch/base/hash.h"
@@ -11,6 +12,13 @@
 namespace
 {
 
+/// Bits of a fencing token that count the holders within one incarnation of the store. The others hold the incarnation; a token stays below
+/// 2^53 and can be represented in JSON for 2 million restores.
+constexpr int TokenCountBits = 32;
+
+/// Incarnation of a store that has never been restored.
+constexpr StoreIncarnation FirstIncarnation(1);
+
 bool isHeldBy(const LeaseRow &row, const ProcessId &self)
 {
     return row.holder == self.node && row.incarnation == self.incarnation;
@@ -24,6 +32,10 @@
     if (!isFirstRead && version == view.version) {
         return view;
     }
+    const bool isRestored = isFirstRead ? version.incarnation() > FirstIncarnation : version.incarnation() != view.version.incarnation();
+    if (isRestored) {
+        view.restoredAt = now;
+    }
     view.version = version;
     view.row = std::move(row);
     view.unchangedSince = now;
@@ -31,17 +43,26 @@
     return view;
 }
 
+FencingToken firstToken(StoreIncarnation incarnation) noexcept
+{
+    return FencingToken(incarnation.value() << TokenCountBits);
+}
+
 LeaseStep selectLeaseStep(const LeaseView &view, const ProcessId &self, TimePoint now, const LeaseTimes &times)
 {
     if (view.authorityExpiresAt) {
         return now - view.renewedAt >= times.renewalInterval ? LeaseStep::Renew : LeaseStep::Wait;
     }
+    if (view.restoredAt && now - *view.restoredAt < times.duration) {
+        return LeaseStep::Wait; // A holder whose writes are lost may still have authority.
+    }
     const bool isFree = !view.row || view.row->holder.empty();
     if (isFree) {
         return LeaseStep::Take;
     }
     if (isHeldBy(*view.row, self)) {
-        return LeaseStep::Renew;
+        const bool precedesRestore = view.row->token < firstToken(view.version.incarnation());
+        return precedesRestore ? LeaseStep::Take : LeaseStep::Renew;
     }
     return now - view.unchangedSince >= times.duration ? LeaseStep::Take : LeaseStep::Wait;
 }
@@ -54,13 +75,16 @@
     row.renewals = row.renewals.next();
     row.attempt = std::move(attempt);
     if (step == LeaseStep::Take) {
-        row.token = row.token.next();
+        row.token = std::max(row.token, firstToken(view.version.incarnation())).next();
     }
     return row;
 }
 
 LeaseView recordLeaseWrite(LeaseView view, StorePosition version, LeaseRow row, TimePoint sentAt, TimePoint now, const LeaseTimes &times)
 {
+    if (version.incarnation() != view.version.incarnation()) {
+        return observeLease(std::move(view), version, std::move(row), now);
+    }
     view.version = version;
     view.row = std::move(row);
     view.unchangedSince = now;
@@ -111,7 +135,8 @@
 std::optional<Authority> LeaseManager::authority() const
 {
     const LeaseView current = view();
-    if (!hasAuthority(current, m_clock.now())) {
+    const bool isOutdated = m_table.incarnation() != current.version.incarnation();
+    if (!hasAuthority(current, m_clock.now()) || isOutdated) {
         return std::nullopt;
     }
     return Authority{current.row->token, {m_key, current.version}};
@@ -137,7 +162,7 @@
         co_return false;
     }
     std::optional<LeaseRow> row;
-    StorePosition version;
+    StorePosition version(m_table.incarnation(), RowVersion());
     if (*read) {
         const Result<LeaseRow> decoded = decodeLease((*read)->text);
         if (!decoded) {
@@ -148,9 +173,12 @@
         version = (*read)->version;
     }
     const bool wasHeld = view().authorityExpiresAt.has_value();
+    const StorePosition before = view().version;
     setView(observeLease(view(), version, row, m_clock.now()));
     if (wasHeld && !view().authorityExpiresAt) {
-        recordDecision("the row was written by another process", "holder=" + (row ? row->holder.value() : std::string()), "lost");
+        const char *seen =
+            view().version.incarnation() == before.incarnation() ? "the row was written by another process" : "the store was restored";
+        recordDecision(seen, "holder=" + (row ? row->holder.value() : std::string()), "lost");
     }
     co_return true;
 }
@@ -183,6 +211,10 @@
         co_return;
     }
     setView(recordLeaseWrite(before, result.version, row, sentAt, m_clock.now(), m_times));
+    if (!view().authorityExpiresAt) {
+        recordDecision("the store was restored during the write", "token=" + std::to_string(row.token.value()), "not_taken");
+        co_return;
+    }
     if (step == LeaseStep::Take) {
         const char *seen =
             before.row && !before.row->holder.empty() ? "the holder did not renew the lease before it expired" : "the lease had no holder";
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -27,10 +27,33 @@
 {
 }
 
-StorePosition PlatformStore::versionOf(const RowKey &key) const
+bool PlatformStore::hasVersion(const RowKey &key, const StorePosition &position) const
 {
     const auto found = m_rows.find(key);
-    return found == m_rows.end() ? StorePosition() : found->second.version;
+    const std::int64_t present = found == m_rows.end() ? 0 : found->second.version.version().value();
+    return present == position.version().value();
+}
+
+void PlatformStore::copyRows()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copiedRows = m_rows;
+}
+
+void PlatformStore::restoreRows()
+{
+    const std::lock_guard lock(m_mutex);
+    m_incarnation = m_incarnation.next();
+    m_rows = m_copiedRows;
+    for (auto &[key, row] : m_rows) {
+        row.version = {m_incarnation, row.version.version()};
+    }
+}
+
+StoreIncarnation PlatformStore::incarnation() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_incarnation;
 }
 
 std::optional<Row> PlatformStore::read(const RowKey &key) const
@@ -52,11 +75,11 @@
     if (!m_writeBucket.tryTake(m_limits.writesPerSecond, m_clock.now())) {
         return StoreOutcome::RateLimited;
     }
-    const bool guardHolds = !write.guard || versionOf(write.guard->key) == write.guard->version;
-    if (versionOf(write.key) != write.expected || !guardHolds) {
+    const bool guardHolds = !write.guard || hasVersion(write.guard->key, write.guard->version);
+    if (!hasVersion(write.key, write.expected) || !guardHolds) {
         return StoreOutcome::Conflict;
     }
-    version = write.expected.next();
+    version = {m_incarnation, write.expected.next().version()};
     m_rows[write.key] = {version, write.text};
     ++m_writes;
     return StoreOutcome::Done;
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -53,6 +53,14 @@
     /// Applies a conditional write. @param version set to the new version on success
     [[nodiscard]] StoreOutcome write(const RowWrite &write, StorePosition &version);
 
+    /// Keeps a copy of the rows for restoreRows().
+    void copyRows();
+
+    /// Replaces the rows by the copy and begins a new incarnation, whose versions continue from those of the copy.
+    void restoreRows();
+
+    [[nodiscard]] StoreIncarnation incarnation() const;
+
     /// Returns whether the rate limit allows another read now, and counts the read if so.
     [[nodiscard]] bool tryTakeRead();
 
@@ -87,12 +95,15 @@
         [[nodiscard]] bool tryTake(double rate, TimePoint now);
     };
 
-    [[nodiscard]] StorePosition versionOf(const RowKey &key) const;
+    /// Whether a row has the version of a position; its incarnation is unknown to writers of the service.
+    [[nodiscard]] bool hasVersion(const RowKey &key, const StorePosition &position) const;
 
     const Clock &m_clock;
     PlatformLimits m_limits;
     mutable std::mutex m_mutex;
     std::map<RowKey, Row> m_rows;
+    std::map<RowKey, Row> m_copiedRows;
+    StoreIncarnation m_incarnation;
     std::map<std::string, std::string> m_objects;
     std::vector<VmEntry> m_vms;
     std::vector<VmEntry> m_nextVms;
--- a/tests/fakes/fake_table.h
+++ b/tests/fakes/fake_table.h
@@ -87,6 +87,11 @@
         co_return version;
     }
 
+    [[nodiscard]] StoreIncarnation incarnation() const override
+    {
+        return m_store.incarnation();
+    }
+
 private:
     asio::awaitable<void> applyLater(RowWrite write, Duration delay)
     {
--- a/tests/src/unit-lease.cpp
+++ b/tests/src/unit-lease.cpp
@@ -151,4 +151,77 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(after_a_restore_of_the_store)
+
+BOOST_AUTO_TEST_CASE(that_has_lost_the_takeover_no_second_process_has_authority)
+{
+    // The copy showed a free lease, and a second process took it with the token that the first one had.
+    LeaseFixture setup;
+    setup.store.copyRows();
+    setup.loop.run(setup.first.lease.step());
+    const FencingToken lost = setup.first.lease.authority()->token;
+    setup.loop.run(setup.second.lease.step());
+    setup.store.restoreRows();
+    const TimePoint restoredAt = setup.loop.clock.now();
+    while (!setup.second.lease.authority()) {
+        setup.loop.run(setup.second.lease.step());
+        BOOST_REQUIRE((setup.loop.clock.now() - restoredAt < 10s));
+        setup.loop.advanceTime(LeaseTimes().pollInterval);
+    }
+    BOOST_TEST((setup.loop.clock.now() - restoredAt >= LeaseTimes().duration));
+    BOOST_TEST(setup.second.lease.authority()->token > lost);
+}
+
+BOOST_AUTO_TEST_CASE(the_holder_loses_its_authority_at_once)
+{
+    LeaseFixture setup;
+    setup.loop.run(setup.first.lease.step());
+    setup.store.copyRows();
+    setup.loop.advanceTime(1500ms);
+    setup.loop.run(setup.first.lease.step());
+    const FencingToken before = setup.first.lease.authority()->token;
+    setup.store.restoreRows();
+    BOOST_TEST(!setup.first.lease.authority().has_value());
+    setup.loop.run(setup.first.lease.step());
+    BOOST_TEST(!setup.first.lease.authority().has_value());
+    setup.loop.advanceTime(LeaseTimes().duration);
+    setup.loop.run(setup.first.lease.step());
+    BOOST_REQUIRE(setup.first.lease.authority().has_value());
+    BOOST_TEST(setup.first.lease.authority()->token > before);
+}
+
+BOOST_AUTO_TEST_CASE(a_renewal_that_the_restored_store_accepts_gives_no_authority)
+{
+    // The copy contains the version that the holder's write expects.
+    LeaseFixture setup;
+    setup.loop.run(setup.first.lease.step());
+    setup.store.copyRows();
+    setup.first.table.behavior = [](bool isWrite) {
+        return TableBehavior{TableFault::None, isWrite ? Duration(400ms) : Duration(0), Duration(0)};
+    };
+    setup.loop.advanceTime(1500ms);
+    setup.loop.start(setup.first.lease.step());
+    setup.loop.advanceTime(200ms);
+    setup.store.restoreRows();
+    setup.loop.advanceTime(1s);
+    BOOST_TEST(!setup.first.lease.authority().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_starts_into_it_waits_as_well)
+{
+    LeaseFixture setup;
+    setup.store.copyRows();
+    setup.store.restoreRows();
+    setup.loop.run(setup.first.lease.step());
+    setup.store.restoreRows();
+    Contender started(setup.loop, setup.store, "started");
+    setup.loop.run(started.lease.step());
+    BOOST_TEST(!started.lease.authority().has_value());
+    setup.loop.advanceTime(LeaseTimes().duration);
+    setup.loop.run(started.lease.step());
+    BOOST_TEST(started.lease.authority().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
