Register nodes again after a restore of the store

By reading: a node that had started in the lost span kept serving without its row in the nodes' table, and nodes that started later did not find it there for up to 60 s, the interval of the next read. A restore now makes each node read the table again within 8 s, at a random time, and write its row if it is lost. No test of its own.

--- a/include/apricotarch/app/node_registration.h
+++ b/include/apricotarch/app/node_registration.h
@@ -29,6 +29,9 @@
     /// Registers this node and reads the table now and then. Never returns.
     [[nodiscard]] asio::awaitable<void> run();
 
+    /// Registers again within a few seconds, after a restore of the store that may have lost this node's row.
+    void registerAgain();
+
     /// Texts of the nodes' rows as last read, by node.
     [[nodiscard]] const std::map<std::string, std::string> &nodes() const noexcept
     {
@@ -47,6 +50,7 @@
     TableReader &m_tables;
     TableStore &m_rows;
     std::map<std::string, std::string> m_nodes;
+    TimePoint m_nextReadAt; ///< When the table is read next, once this node is registered.
 };
 
 } // namespace apricotarch
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -203,6 +203,7 @@
         .field("servers", m_fleetTables.serversVersion())
         .field("reads_again", m_state.peers.shouldReadStore(m_state.clock.now()) ? "store" : "peers");
     m_state.metrics.increment(CounterFamily::Configurations, "store_restored");
+    m_registration.registerAgain();
 }
 
 void FleetSynchronizer::updateStoreStatus(Table table, const Result<RowBatch> &result)
--- a/src/app/node_registration.cpp
+++ b/src/app/node_registration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include "apricotarch/base/log.h"
@@ -22,6 +23,12 @@
 /// nodes that were missed.
 constexpr Duration NodesPollInterval = 60s;
 
+/// Longest delay of a registration after a restore of the store. Spreads the calls of a large fleet over the store's rates.
+constexpr int MaxReregistrationDelayMs = 8000;
+
+/// Interval at which a registered node checks whether the next read is due.
+constexpr Duration DueCheckInterval = 500ms;
+
 /// This system's own table, with one row per node.
 constexpr const char *NodesTable = "apricotarch-nodes";
 
@@ -42,7 +49,10 @@
         if (outcome) {
             pause = FirstRetryPause;
             if (*outcome == Outcome::Found) {
-                co_await m_state.clock.sleep(NodesPollInterval);
+                m_nextReadAt = m_state.clock.now() + NodesPollInterval;
+                while (m_state.clock.now() < m_nextReadAt) {
+                    co_await m_state.clock.sleep(std::min<Duration>(DueCheckInterval, m_nextReadAt - m_state.clock.now()));
+                }
             }
             continue; // After a write, read again to find nodes that registered between the read and the write.
         }
@@ -52,6 +62,12 @@
     }
 }
 
+void NodeRegistration::registerAgain()
+{
+    const std::chrono::milliseconds delay(std::uniform_int_distribution<int>(0, MaxReregistrationDelayMs)(m_state.random));
+    m_nextReadAt = std::min(m_nextReadAt, m_state.clock.now() + delay);
+}
+
 asio::awaitable<Result<NodeRegistration::Outcome>> NodeRegistration::registerOnce()
 {
     const Result<RowBatch> nodes = co_await m_tables.readTable(NodesTable);
