--- a/tests/src/unit-stage_controller.cpp
+++ b/tests/src/unit-stage_controller.cpp
@@ -32,9 +32,9 @@
         co_return m_store.read(key);
     }
 
-    [[nodiscard]] asio::awaitable<Result<RowVersion>> write(RowWrite write) override
+    [[nodiscard]] asio::awaitable<Result<StorePosition>> write(RowWrite write) override
     {
-        RowVersion version;
+        StorePosition version;
         if (m_store.write(write, version) != standins::StoreOutcome::Done) {
             co_return fail(ErrorId::Conflict, "table.write", "", "a condition of the write is not met");
         }
--- a/tests/src/unit-store_client.cpp
+++ b/tests/src/unit-store_client.cpp
@@ -66,7 +66,7 @@
         return run(m_client.readTable("servers"));
     }
 
-    Result<RowBatch> readChanges(RowVersion after)
+    Result<RowBatch> readChanges(StorePosition after)
     {
         return run(m_client.readChanges("servers", after, 0s));
     }
@@ -129,6 +129,8 @@
     R"({"table":"servers","part":"","key":"i-odd","rowVersion":8,"value":{"a":[[[[1]]]]}})",
     R"({"table":"servers","part":"","key":"i-odd","rowVersion":18446744073709551615,"value":"AAAA"})",
     R"({"table":"servers","part":"","key":"i-odd","rowVersion":1e300,"value":"AAAA"})",
+    R"({"table":"servers","part":"","key":"i-odd","rowVersion":9223372036854775807,"value":"AAAA"})",
+    R"({"table":"servers","part":"","key":"i-odd","rowVersion":-5,"value":"AAAA"})",
     R"({"table":"servers","part":"","key":"i-odd","rowVersion":8,"removed":"perhaps","value":"AAAA"})",
     R"({"table":"servers","part":"","key":"i-odd","rowVersion":8,"value":)" + std::string(200, '[') + std::string(200, ']') + '}',
     "{\"table\":\"servers\",\"part\":\"\",\"key\":\"i-odd\xff\",\"rowVersion\":8,\"value\":\"AAAA\"}",
@@ -166,11 +168,11 @@
     // The same changes were read again and again, and no later change was seen.
     for (const std::string &odd : OddRows) {
         TestStore store({page(odd + ',' + soundRow("i-2"))});
-        const Result<RowBatch> batch = store.readChanges(RowVersion(5));
+        const Result<RowBatch> batch = store.readChanges(StorePosition(5));
         BOOST_TEST_CONTEXT(odd)
         {
             BOOST_REQUIRE(batch.has_value());
-            BOOST_TEST(batch->version == RowVersion(9));
+            BOOST_TEST(batch->version == StorePosition(9));
             BOOST_TEST(namesServer(*batch, "i-2"));
             BOOST_TEST(!namesServer(*batch, "i-odd"));
         }
@@ -180,11 +182,11 @@
 BOOST_AUTO_TEST_CASE(is_reported_with_its_key_so_that_its_server_is_no_longer_used)
 {
     TestStore store({page(OddRows.front())});
-    const Result<RowBatch> batch = store.readChanges(RowVersion(5));
+    const Result<RowBatch> batch = store.readChanges(StorePosition(5));
     BOOST_REQUIRE(batch.has_value());
     const StoredRow *row = findRow(*batch, "i-odd");
     BOOST_REQUIRE(row != nullptr);
-    BOOST_TEST(row->version == RowVersion(8));
+    BOOST_TEST(row->version == StorePosition(8));
     BOOST_TEST(!row->removed);
 }
 
