Model nodes and a lease on a store that is restored from an older copy

Two models for a store whose incarnation changes: tables that nodes follow, and a lease with fencing tokens. Each rule has a mutant that the search must find.

Found by the search: comparing renewal counts is not enough for a server whose removal has been read while its last entry had not, since the restored entry then looks new. The rule is that the first entry read in an incarnation does not bring a removed server back, a later one does (mutant REVIVE_REMOVED).

--- a/scripts/models.sh
+++ b/scripts/models.sh
@@ -54,5 +54,18 @@
 for rule in NO_MAJORITY_TO_ACCEPT NO_MAJORITY_TO_ADMIT IGNORE_OFFER RESTART_KEEPS_VOTE NOT_MONOTONIC; do
     expect broken configuration.pml "-D$rule"
 done
+for table in 1 2; do
+    expect holds restored_tables.pml "-DTABLE=$table"
+done
+for rule in COMPARE_BY_NUMBER ADOPT_OLDER; do
+    expect broken restored_tables.pml -DTABLE=1 "-D$rule"
+done
+for rule in RESTORED_ENTRY_WINS REVIVE_REMOVED MISSING_IS_REMOVED; do
+    expect broken restored_tables.pml -DTABLE=2 "-D$rule"
+done
+expect holds restored_lease.pml
+for rule in TAKE_FREE_AT_ONCE TRUST_OWN_ROW TOKEN_BY_ROW; do
+    expect broken restored_lease.pml "-D$rule"
+done
 echo "models: $passed passed, $failed failed"
 [ $failed = 0 ]
