Test that an engine which declines after the announcement of its change gets no order

that_declines_for_a_time_is_asked_for_its_report_again also passes when declines are not recorded, since an engine is asked only once within the test's 5 s. It stays, and this case covers the check before the report: with declines removed from StageController::takesOrders() it fails, with report requests and orders sent. Suite stage_controller passes.

--- a/tests/src/unit-stage_controller.cpp
+++ b/tests/src/unit-stage_controller.cpp
@@ -156,6 +156,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(that_declines_after_the_announcement_of_its_change_is_asked_for_its_report)
+{
+    ControllerFixture fixture([](const RequestHead &head, const std::string &) {
+        return answerCall(head);
+    });
+    const auto until = std::chrono::steady_clock::now() + SomePolls;
+    while (fixture.state.changingEngines.empty() && std::chrono::steady_clock::now() < until) {
+        fixture.runFor(10ms);
+    }
+    BOOST_REQUIRE(!fixture.state.changingEngines.empty());
+    const TimePoint now = fixture.state.clock.now();
+    for (const auto &[id, engine] : fixture.state.backends.all()) {
+        fixture.state.backends.recordDecline(id, now, now + 30s);
+    }
+    fixture.runFor(2s);
+    BOOST_TEST(fixture.count("/v1/report") == 0);
+    BOOST_TEST(fixture.count("/v1/order") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(that_declines_for_a_time_is_asked_for_its_report_again)
 {
     ControllerFixture fixture([](const RequestHead &, const std::string &) {
