Test that damaged messages of peers are malformed

Other operators saw processes end by themselves when they decoded odd entries. Both cases fail if the decoder passes the exceptions of the Thrift library on. Besides, a test of resumed streams no longer waits for 10 s for the end of a response that does not come; what it checks is the same.

--- /dev/null
+++ b/tests/src/unit-front_codec.cpp
@@ -0,0 +1,94 @@
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+#include "apricotarch/protocol/front_codec.h"
+
+using namespace apricotarch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+FrontHeartbeat soundHeartbeat()
+{
+    FrontHeartbeat heartbeat;
+    heartbeat.node = NodeId("front-1");
+    heartbeat.zone = ZoneId("z");
+    heartbeat.callerAddress = {"10.0.0.1", 80};
+    heartbeat.peerAddress = {"10.0.0.1", 81};
+    for (int index = 0; index < 20; ++index) {
+        const ReplicaId server("i-" + std::to_string(index));
+        heartbeat.loads.push_back({server, {3, 4000}});
+        heartbeat.sentPrompts.push_back({server, {{7, 800}, {8, 90}}});
+        heartbeat.changingEngines.push_back({server, 300ms});
+    }
+    heartbeat.prefillRates[ServiceId("engines")] = 1.5;
+    heartbeat.crashRecords.push_back({ContentHash(5), 2, 400ms});
+    return heartbeat;
+}
+
+FleetSnapshot soundSnapshot()
+{
+    FleetSnapshot snapshot;
+    snapshot.plan = R"({"version":1})";
+    snapshot.compressedPlan = std::string(40, '\x01');
+    for (int index = 0; index < 20; ++index) {
+        snapshot.servers.push_back({"i-" + std::to_string(index), "{}", RowVersion(index + 1), index % 3 == 0});
+    }
+    return snapshot;
+}
+
+/// Changes some bytes, or cuts the text.
+std::string mutate(std::string bytes, std::mt19937 &random)
+{
+    const auto pick = [&random](std::size_t count) {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+    };
+    for (std::size_t change = 0; change <= pick(4); ++change) {
+        const std::size_t at = pick(bytes.size());
+        switch (pick(4)) {
+        case 0:
+            bytes[at] = static_cast<char>(pick(256));
+            break;
+        case 1:
+            bytes[at] = '\xff'; // Lengths become very large.
+            break;
+        case 2:
+            bytes.insert(at, std::string(1 + pick(6), static_cast<char>(pick(256))));
+            break;
+        default:
+            bytes.resize(at + 1);
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(front_codec)
+
+BOOST_AUTO_TEST_CASE(takes_damaged_messages_of_peers_for_malformed_or_for_other_messages)
+{
+    std::mt19937 random(20261205);
+    const std::string datagram = encodeFrontDatagram(soundHeartbeat());
+    const std::string snapshot = encodeFleetSnapshot(soundSnapshot());
+    BOOST_REQUIRE(decodeFrontDatagram(datagram, "peer").has_value());
+    BOOST_REQUIRE(decodeFleetSnapshot(snapshot, "peer").has_value());
+    std::size_t malformed = 0;
+    for (int repetition = 0; repetition < 2000; ++repetition) {
+        BOOST_REQUIRE_NO_THROW(malformed += decodeFrontDatagram(mutate(datagram, random), "peer") ? 0 : 1);
+        BOOST_REQUIRE_NO_THROW(malformed += decodeFleetSnapshot(mutate(snapshot, random), "peer") ? 0 : 1);
+        BOOST_REQUIRE_NO_THROW((void)decodeFleetSnapshotRequest(mutate(snapshot, random), "peer"));
+    }
+    BOOST_TEST(malformed > 500U);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_follow_nested_messages_without_end)
+{
+    // An unknown field with a structure in a structure in a structure.
+    BOOST_TEST(!decodeFrontDatagram(std::string(60'000, '\x1c'), "peer").has_value());
+    BOOST_TEST(!decodeFleetSnapshot(std::string(2'000'000, '\x1c'), "peer").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -756,7 +756,9 @@
 
 /// Sends a request to a server that answers with these bytes and then closes the connection normally.
 /// @param later sent again and again after the others, if not empty; the connection is not closed then
-std::string streamOf(const std::string &request, const std::string &body, const std::string &later = "")
+/// @param terminator end of the caller's answer
+std::string streamOf(
+    const std::string &request, const std::string &body, const std::string &later = "", const std::string &terminator = "0\r\n\r\n")
 {
     TestNode node;
     node.addServer("a", [&](const RequestHead &head, const std::string &) {
@@ -768,7 +770,7 @@
         answer.delay = 10ms;
         return answer;
     });
-    return node.sendRequest(request, "0\r\n\r\n");
+    return node.sendRequest(request, terminator);
 }
 
 BOOST_AUTO_TEST_CASE(does_not_contain_the_head_of_an_answer_that_follows_it)
@@ -802,7 +804,7 @@
     BOOST_TEST(answer.find(event(1)) == std::string::npos);
     BOOST_TEST(answer.find(event(2)) == std::string::npos);
     BOOST_TEST(answer.find(event(3)) != std::string::npos);
-    BOOST_TEST(streamOf(request, event(4)).find(event(4)) == std::string::npos);
+    BOOST_TEST(streamOf(request, event(4), "", "broken\"}").find(event(4)) == std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
