Read a request with the size limits in force when it begins

Callers got 413 for a body that the configuration in force allowed, if their connection had been idle since before it was adopted. The parser was made with the limits of the moment at which the answer before had ended.

Ruled out: the idle and header time limits, which are read anew at each wait.

Test: request_forwarder/an_idle_connection_of_a_caller/ is_read_with_the_size_limits_in_force_when_a_request_begins; failed before.

--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -45,8 +45,7 @@
     /// Reads the next request.
     [[nodiscard]] asio::awaitable<ReadResult> readNext()
     {
-        const CallerLimits &limits = m_state.plan->limits();
-        m_parser.emplace(ReadLimits{static_cast<std::uint32_t>(limits.headerBytes), limits.bodyBytes});
+        resetParser();
         m_firstByteAt.reset();
         m_lastByteAt = m_state.clock.now();
         m_continueSent = false;
@@ -80,12 +79,19 @@
     }
 
 private:
+    void resetParser()
+    {
+        const CallerLimits &limits = m_state.plan->limits();
+        m_parser.emplace(ReadLimits{static_cast<std::uint32_t>(limits.headerBytes), limits.bodyBytes});
+    }
+
     /// Parses the received input. @return false if the request is invalid and has been refused
     bool parseInput()
     {
         m_lastByteAt = m_state.clock.now();
         if (!m_firstByteAt) {
             m_firstByteAt = m_lastByteAt;
+            resetParser(); // The configuration may have changed while the connection was idle.
         }
         const Result<std::size_t> consumed = m_parser->parse(m_caller.input());
         if (!consumed) {
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1698,6 +1698,29 @@
     BOOST_TEST(caller.answers() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(is_read_with_the_size_limits_in_force_when_a_request_begins)
+{
+    // A connection that was idle while a configuration raised the limits kept those before, and the request got 413.
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &body) {
+        return ScriptedAnswer{fullResponse(head, "booked " + std::to_string(body.size()))};
+    });
+    CallerProbe caller(node, BookingRequest);
+    node.runFor(100ms);
+    BOOST_REQUIRE(caller.answer.ends_with("booked 4"));
+    const RoutingPlan &plan = *node.state.plan;
+    CallerLimits limits = plan.limits();
+    limits.bodyBytes = 10'000;
+    node.state.plan = std::make_shared<RoutingPlan>(plan.version() + 1,
+        plan.routes(),
+        std::vector<RoutedService>{*plan.service(ServiceId("desk")), *plan.service(ServiceId("engines"))},
+        limits);
+    caller.send("POST /book/2 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r9\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2000\r\n\r\n"
+        + std::string(2000, 'x'));
+    node.runFor(300ms);
+    BOOST_TEST(caller.answer.ends_with("booked 2000"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_node_that_shuts_down)
