--- a/tests/src/unit-front_codec.cpp
+++ b/tests/src/unit-front_codec.cpp
@@ -34,7 +34,7 @@
     snapshot.plan = R"({"version":1})";
     snapshot.compressedPlan = std::string(40, '\x01');
     for (int index = 0; index < 20; ++index) {
-        snapshot.servers.push_back({"i-" + std::to_string(index), "{}", RowVersion(index + 1), index % 3 == 0});
+        snapshot.servers.push_back({"i-" + std::to_string(index), "{}", StorePosition(index + 1), index % 3 == 0});
     }
     return snapshot;
 }
