Retry at a server with a free slot although the preferred one is full

Found by the review of the incident of lost requests. Test: request_forwarder/a_request_whose_server_stays_silent/ goes_to_an_engine_with_a_free_slot_if_the_preferred_one_is_full; failed before (2 checks).

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -68,6 +68,8 @@
     [[nodiscard]] asio::awaitable<Placement> selectPlacement();
     /// Selects the servers from one of m_groups, or from all if it is empty.
     [[nodiscard]] Placement placeInGroup(std::size_t rank);
+    /// Removes servers without a free slot, unless there are no others that can execute the request. A retry that is declined is lost.
+    void removeFullServers(std::vector<BackendPointer> &servers) const;
     /// Whether the request is a prompt for a model engine.
     [[nodiscard]] bool isPrompt() const;
     /// With partial views: sets m_groups for a prompt.
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -170,7 +170,10 @@
     PlacementRequest request;
     request.zone = m_state.settings.zone;
     request.triedServers = m_triedServers;
-    const std::vector<BackendPointer> servers = m_state.backends.selectUsable(m_serviceId, now);
+    std::vector<BackendPointer> servers = m_state.backends.selectUsable(m_serviceId, now);
+    if (m_attemptsSent > 0) {
+        removeFullServers(servers);
+    }
     if (!isPrompt()) {
         return m_state.placementPlanner.selectServer(servers, request, now);
     }
@@ -185,6 +188,19 @@
     return m_state.placementPlanner.selectEngines(usableInGroup(servers, rank), request, *m_service->engine, now);
 }
 
+void RequestForwarder::removeFullServers(std::vector<BackendPointer> &servers) const
+{
+    const auto isFull = [](const BackendPointer &server) {
+        return server->load().requests >= server->record.slots;
+    };
+    const bool hasFreeServer = std::ranges::any_of(servers, [&](const BackendPointer &server) {
+        return !isFull(server) && server->record.stage != EngineStage::Prefill && !m_triedServers.contains(server->record.id);
+    });
+    if (hasFreeServer) {
+        std::erase_if(servers, isFull);
+    }
+}
+
 bool RequestForwarder::isPrompt() const
 {
     return m_service != nullptr && m_service->engine && m_request.prompt;
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1426,6 +1426,41 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_request_whose_server_stays_silent)
+
+BOOST_AUTO_TEST_CASE(goes_to_an_engine_with_a_free_slot_if_the_preferred_one_is_full)
+{
+    // Placement prefers a full engine with the prompt in its cache; the stream stayed at the dead engine although another one was free.
+    TestNode node;
+    node.state.backends.resizeCaches(ServiceId("engines"), 491'264);
+    std::string servedBy;
+    int requestCount = 0;
+    const auto stopFirst = [&](const RequestHead &head, const std::string &) {
+        servedBy = head.headers.value("X-Expect-Instance");
+        return ++requestCount == 1 ? ScriptedAnswer{streamHead(head) + chunk(event(1))}
+                                   : ScriptedAnswer{streamHead(head) + chunk(event(2)) + "0\r\n\r\n"};
+    };
+    for (const char *id : {"dead", "full", "free"}) {
+        node.addEngine(id, EngineStage::Decode, stopFirst);
+    }
+    const std::vector<PromptPart> prompt = {{0xa1, 13'000}, {0xb2, 4'000}};
+    node.state.backends.find(ReplicaId("dead"))->cache.recordPrompt(prompt);
+    node.state.backends.find(ReplicaId("full"))->localLoad.requests = 400;
+    node.state.backends.find(ReplicaId("free"))->localLoad.requests = 400;
+    CallerProbe caller(node, LongPromptRequest);
+    node.runFor(200ms);
+    BOOST_REQUIRE(servedBy == "dead");
+    node.state.backends.find(ReplicaId("full"))->localLoad.requests = 64;
+    node.state.backends.find(ReplicaId("full"))->cache.recordPrompt(prompt);
+    node.state.backends.find(ReplicaId("free"))->localLoad.requests = 50;
+    node.state.backends.find(ReplicaId("free"))->localLoad.promptTokens = 40'000;
+    node.runFor(4s);
+    BOOST_TEST(requestCount == 2);
+    BOOST_TEST(caller.answer.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
 
 BOOST_AUTO_TEST_CASE(is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not)
