Do not give up a safe request whose answer is arriving

A schedule view was sent to a second server at 40% of its time although its answer was arriving: the time limit of safe routes ignored the bytes received. Once the head of the answer has arrived, only a silence of the server counts.

Found by the review of the incident of lost requests. Test: request_forwarder/a_request_whose_server_stays_silent/ is_not_given_up_while_the_answer_to_a_schedule_view_arrives; failed before.

--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -198,7 +198,8 @@
         if (activeAttempt.retryAt != TimePoint::max()) {
             const TimePoint silenceDeadline = std::max(
                 activeAttempt.retryAt, std::max(activeAttempt.lastReceivedAt, activeAttempt.backend->lastAnswerByteAt) + SilenceTimeout);
-            const TimePoint retryDue = m_route->kind == RouteKind::Safe ? activeAttempt.retryAt : silenceDeadline;
+            const bool waitsForAnswer = m_route->kind == RouteKind::Safe && !activeAttempt.answer;
+            const TimePoint retryDue = waitsForAnswer ? activeAttempt.retryAt : silenceDeadline;
             if (now >= retryDue && reserveRetryAfterSilence(activeAttempt)) {
                 m_mayHaveExecuted = true;
                 connection.close();
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1459,6 +1459,21 @@
     BOOST_TEST(caller.answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(is_not_given_up_while_the_answer_to_a_schedule_view_arrives)
+{
+    // A safe request was sent to another server at 40% of its time, also while its answer was arriving.
+    TestNode node;
+    for (const char *id : {"a", "b"}) {
+        node.addServer(id, [](const RequestHead &head, const std::string &) {
+            const std::string full = fullResponse(head, "0123456789");
+            return ScriptedAnswer{full.substr(0, full.size() - 10), false, "x", 250ms};
+        });
+    }
+    const std::string answer = node.sendRequest(ViewRequest, "xxxxxxxxxx");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(node.servers[0]->targets.size() + node.servers[1]->targets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
