Log exceptions of coroutines and go on following the tables

An exception in a coroutine that nobody waits for was lost without a line: a loop that followed a table or sent heartbeats would have stopped, and a caller would have waited on a connection that nobody served.

The loops of a front node are started again after a pause; every other coroutine logs the exception (task.failed); a caller's connection is closed, with a line.

Tests: suite background_task. With asio::detached in its place the loop is entered once and nothing is logged.

--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -55,6 +55,9 @@
         Servers,
     };
 
+    /// Starts one of the loops; it is started again if it ends with an exception.
+    void startLoop(asio::io_context &loop, const char *name, std::function<asio::awaitable<void>()> run);
+
     // ---- the store ----
 
     [[nodiscard]] asio::awaitable<void> followTable(Table table);
--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -217,12 +217,9 @@
     co_return canReuse;
 }
 
-} // namespace
-
-asio::awaitable<void> serveCaller(FrontState &state, asio::ip::tcp::socket socket)
+/// Serves the requests of one connection until it ends.
+asio::awaitable<void> serveRequests(FrontState &state, boost::intrusive_ptr<CallerConnection> caller)
 {
-    const boost::intrusive_ptr<CallerConnection> caller(new CallerConnection(std::move(socket)));
-    caller->start();
     RequestSource source(state, *caller);
     bool isRefused = false;
     while (true) {
@@ -254,4 +251,20 @@
     caller->close();
 }
 
+} // namespace
+
+asio::awaitable<void> serveCaller(FrontState &state, asio::ip::tcp::socket socket)
+{
+    const boost::intrusive_ptr<CallerConnection> caller(new CallerConnection(std::move(socket)));
+    caller->start();
+    try {
+        co_await serveRequests(state, caller);
+    } catch (...) {
+        // The pending read would keep the connection open, and the caller waiting.
+        reportIncompleteClose(state, *caller, {.reason = "exception"});
+        caller->close();
+        throw;
+    }
+}
+
 } // namespace apricotarch
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
+#include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/protocol/front_codec.h"
 
@@ -102,14 +102,29 @@
     m_state.refreshGroupLoad = [this](EngineGroupQuery query) {
         return m_groupLoads.refresh(std::move(query));
     };
-    asio::co_spawn(loop, followTable(Table::Plan), asio::detached);
-    asio::co_spawn(loop, followTable(Table::Servers), asio::detached);
-    asio::co_spawn(loop, checkStoreReachability(), asio::detached);
-    asio::co_spawn(loop, m_registration.run(), asio::detached);
-    asio::co_spawn(loop, heartbeatLoop(), asio::detached);
+    startLoop(loop, "follow_plan", [this] {
+        return followTable(Table::Plan);
+    });
+    startLoop(loop, "follow_servers", [this] {
+        return followTable(Table::Servers);
+    });
+    startLoop(loop, "check_store", [this] {
+        return checkStoreReachability();
+    });
+    startLoop(loop, "register_node", [this] {
+        return m_registration.run();
+    });
+    startLoop(loop, "send_heartbeats", [this] {
+        return heartbeatLoop();
+    });
     return {};
 }
 
+void FleetSynchronizer::startLoop(asio::io_context &loop, const char *name, std::function<asio::awaitable<void>()> run)
+{
+    asio::co_spawn(loop, runLoop(m_state.clock, name, std::move(run)), LogFailure(name));
+}
+
 // ---- the store ----
 
 asio::awaitable<void> FleetSynchronizer::followTable(Table table)
@@ -359,7 +374,7 @@
         return;
     }
     m_urgentHeartbeatPending = true;
-    asio::co_spawn(m_state.executor, sendUrgentHeartbeat(), asio::detached);
+    asio::co_spawn(m_state.executor, sendUrgentHeartbeat(), LogFailure("send_urgent_heartbeat"));
 }
 
 asio::awaitable<void> FleetSynchronizer::sendUrgentHeartbeat()
--- a/src/app/front.cpp
+++ b/src/app/front.cpp
@@ -9,7 +9,6 @@
 #include <optional>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -19,6 +18,7 @@
 #include "apricotarch/app/fleet_synchronizer.h"
 #include "apricotarch/app/front_state.h"
 #include "apricotarch/app/stage_controller.h"
+#include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/coordination/directory.h"
 #include "apricotarch/transport/authenticated_link.h"
@@ -170,10 +170,13 @@
         if (Result<void> started = m_fleetSynchronizer.start(m_eventLoops.coordinationLoop()); !started) {
             return started;
         }
-        asio::co_spawn(m_eventLoops.coordinationLoop(), acceptCallers(), asio::detached);
-        asio::co_spawn(m_eventLoops.coordinationLoop(), watchSettings(), asio::detached);
-        asio::co_spawn(m_eventLoops.coordinationLoop(), m_stageController.run(), asio::detached);
-        asio::co_spawn(m_eventLoops.coordinationLoop(), flushLogsPeriodically(), asio::detached);
+        asio::co_spawn(m_eventLoops.coordinationLoop(), acceptCallers(), LogFailure("accept_callers"));
+        asio::co_spawn(m_eventLoops.coordinationLoop(), watchSettings(), LogFailure("watch_settings"));
+        const auto controlStages = [this] {
+            return m_stageController.run();
+        };
+        asio::co_spawn(m_eventLoops.coordinationLoop(), runLoop(m_clock, "control_stages", controlStages), LogFailure("control_stages"));
+        asio::co_spawn(m_eventLoops.coordinationLoop(), flushLogsPeriodically(), LogFailure("flush_logs"));
         awaitSignal();
         LogEvent("node.started")
             .field("node", m_state.settings.node)
@@ -226,7 +229,7 @@
                 co_await m_clock.sleep(AcceptRetryPause);
                 continue;
             }
-            asio::co_spawn(m_eventLoops.coordinationLoop(), serveCaller(m_state, std::move(socket)), asio::detached);
+            asio::co_spawn(m_eventLoops.coordinationLoop(), serveCaller(m_state, std::move(socket)), LogFailure("serve_caller"));
         }
     }
 
@@ -248,7 +251,7 @@
             if (signal == SIGHUP) {
                 reloadSettings();
             } else if (!m_state.shuttingDown) {
-                asio::co_spawn(m_eventLoops.coordinationLoop(), shutDown(), asio::detached);
+                asio::co_spawn(m_eventLoops.coordinationLoop(), shutDown(), LogFailure("shut_down"));
             }
             awaitSignal();
         });
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -6,10 +6,10 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include "apricotarch/app/incomplete_close.h"
+#include "apricotarch/base/background_task.h"
 #include "apricotarch/base/hash.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/transport/backend_call.h"
@@ -440,7 +440,7 @@
     const auto release = [](FrontState &state, BackendCall releaseCall) -> asio::awaitable<void> {
         (void)co_await callBackend(state.backendPool, state.clock, std::move(releaseCall));
     };
-    asio::co_spawn(m_caller.executor(), release(m_state, std::move(call)), asio::detached);
+    asio::co_spawn(m_caller.executor(), release(m_state, std::move(call)), LogFailure("release_kv"));
 }
 
 // ---- responses ----
--- a/src/app/snapshot_exchange.cpp
+++ b/src/app/snapshot_exchange.cpp
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
+#include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/protocol/front_codec.h"
 
@@ -109,7 +109,7 @@
     };
     if (std::optional<Endpoint> peer = selectSnapshotSource(sources, isAvoided, m_state.random)) {
         table.requesting = true;
-        asio::co_spawn(m_state.executor, request(table, std::move(*peer)), asio::detached);
+        asio::co_spawn(m_state.executor, request(table, std::move(*peer)), LogFailure("request_snapshot"));
     }
 }
 
--- a/src/transport/authenticated_link.cpp
+++ b/src/transport/authenticated_link.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
@@ -15,6 +14,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include "apricotarch/base/background_task.h"
+
 namespace apricotarch
 {
 
@@ -181,7 +182,7 @@
             co_return;
         }
         if (!code) {
-            asio::co_spawn(loop, serveConnection(std::move(connection)), asio::detached);
+            asio::co_spawn(loop, serveConnection(std::move(connection)), LogFailure("serve_peer"));
         }
     }
 }
@@ -255,8 +256,8 @@
     if (!bound) {
         return bound;
     }
-    asio::co_spawn(m_impl->loop, m_impl->receiveDatagrams(), asio::detached);
-    asio::co_spawn(m_impl->loop, m_impl->acceptConnections(), asio::detached);
+    asio::co_spawn(m_impl->loop, m_impl->receiveDatagrams(), LogFailure("receive_datagrams"));
+    asio::co_spawn(m_impl->loop, m_impl->acceptConnections(), LogFailure("accept_peers"));
     return {};
 }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/protocol/problem.h"
 
@@ -255,7 +255,7 @@
             continue;
         }
         const asio::any_io_executor executor = socket.get_executor();
-        asio::co_spawn(executor, serveConnection(std::move(socket)), asio::detached);
+        asio::co_spawn(executor, serveConnection(std::move(socket)), LogFailure("serve_http"));
     }
 }
 
@@ -366,7 +366,7 @@
             endpoint.text(),
             code.message() + "; check that the address belongs to this VM and that no other process uses it");
     }
-    asio::co_spawn(acceptor.get_executor(), m_impl->acceptConnections(), asio::detached);
+    asio::co_spawn(acceptor.get_executor(), m_impl->acceptConnections(), LogFailure("accept_http"));
     return {};
 }
 
