Do not bring a server back from a restored copy whose removal was read alone

A node that had read the removal of a server, but no entry of it before, took the entry of a restored copy for a new one and sent requests to a server that had left.

Test: fleet_tables/a_server_after_a_restore_of_the_store/whose_removal_was_read_but_no_row_before_does_not_come_back_from_the_copy; failed before.

--- a/src/app/fleet_tables.cpp
+++ b/src/app/fleet_tables.cpp
@@ -164,7 +164,7 @@
     const Result<BackendRecord> record = m_decoders.decodeServer(row.key, row.text);
     const Result<BackendRecord> last = m_decoders.decodeServer(row.key, known.lastText);
     if (!last) {
-        return false;
+        return known.row.removed; // The row may precede the removal that was read, as this node has read none before.
     }
     // A server that has left is back only with a row that it has written since.
     return !record || ownOrder(*record) < ownOrder(*last) || (known.row.removed && ownOrder(*record) == ownOrder(*last));
--- a/tests/src/unit-fleet_tables.cpp
+++ b/tests/src/unit-fleet_tables.cpp
@@ -167,6 +167,23 @@
     BOOST_TEST((node.usable() == Servers{"i-2", "i-3"}));
 }
 
+BOOST_AUTO_TEST_CASE(whose_removal_was_read_but_no_row_before_does_not_come_back_from_the_copy)
+{
+    // A node that had started shortly before the restore took the copy's row of a server for a new one.
+    NodeFixture node;
+    node.tables.applyServerRows({{"i-4", "", before(31), true}}, before(31), false);
+    node.tables.applyServerRows({row("i-1", "r 1 9", restored(20)),
+                                    row("i-2", "r 1 9", restored(20)),
+                                    row("i-3", "r 1 9", restored(21)),
+                                    row("i-4", "r 1 5", restored(22))},
+        restored(22),
+        true);
+    BOOST_TEST((node.usable() == Servers{"i-1", "i-2", "i-3"}));
+    // Its next write shows that it is alive.
+    node.tables.applyServerRows({row("i-4", "r 1 6", restored(23))}, restored(23), false);
+    BOOST_TEST((node.usable() == Servers{"i-1", "i-2", "i-3", "i-4"}));
+}
+
 BOOST_AUTO_TEST_CASE(that_had_been_silent_before_is_used_if_the_restored_store_keeps_its_row)
 {
     // Its row does not change again, since the copy already contains what the server writes.
