--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1459,6 +1459,32 @@
     BOOST_TEST(caller.answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(goes_on_at_another_engine_if_its_second_prefill_is_declined, *boost::unit_test::label("known_red"))
+{
+    // The silent engine was given up for a retry, whose prefill then used the attempt that was left for the decode engine.
+    TestNode node;
+    int prefills = 0;
+    int decodes = 0;
+    node.addEngine("prefill", EngineStage::Prefill, [&](const RequestHead &head, const std::string &) {
+        return ++prefills == 1 ? ScriptedAnswer{fullResponse(head, R"({"kvHandle":"h1","tokens":17000,"version":1})")}
+                               : ScriptedAnswer{DeclinedResponse};
+    });
+    node.addEngine("prefill-2", EngineStage::Prefill, [&](const RequestHead &head, const std::string &) {
+        return ++prefills == 1 ? ScriptedAnswer{fullResponse(head, R"({"kvHandle":"h1","tokens":17000,"version":1})")}
+                               : ScriptedAnswer{DeclinedResponse};
+    });
+    const auto stopFirst = [&](const RequestHead &head, const std::string &) {
+        return ++decodes == 1 ? ScriptedAnswer{streamHead(head) + chunk(event(1)), false, chunk(event(2)) + "0\r\n\r\n", 2500ms}
+                              : ScriptedAnswer{streamHead(head) + chunk(event(2)) + "0\r\n\r\n"};
+    };
+    node.addEngine("decode-1", EngineStage::Decode, stopFirst);
+    node.addEngine("decode-2", EngineStage::Decode, stopFirst);
+    const std::string answer = node.sendRequest(LongPromptRequest, "0\r\n\r\n");
+    BOOST_REQUIRE(prefills >= 1);
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(is_not_given_up_while_the_answer_to_a_schedule_view_arrives)
 {
     // A safe request was sent to another server at 40% of its time, also while its answer was arriving.
