--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -80,7 +80,9 @@
         int status = 200;
         std::vector<std::pair<std::string, std::string>> headers;
         std::string body;
-        bool crashes = false; ///< The process ends at once.
+        bool crashes = false; ///< The process ends at once, or after the first event if there are events.
+        std::vector<std::string> events = {}; ///< The events of a stream, instead of the body.
+        milliseconds pause{0}; ///< Time before each event.
     };
     using Handler = std::function<Outcome(const Message &request)>;
 
@@ -236,7 +238,7 @@
         Outcome outcome = m_handler(request);
         m_record.add("arrival replica=" + m_name + " request=" + requestId + " target=" + request.secondWord
             + (outcome.crashes ? " crashes" : " status=" + std::to_string(outcome.status)));
-        if (outcome.crashes) {
+        if (outcome.crashes && outcome.events.empty()) {
             crash(milliseconds(2000));
             return false;
         }
@@ -244,9 +246,33 @@
         if (outcome.status < 300) {
             outcome.headers.emplace_back("X-Response-Seal", "seal-" + requestId);
         }
+        if (!outcome.events.empty()) {
+            return streamEvents(connection, outcome);
+        }
         return connection.send(encodeAnswer(outcome.status, outcome.headers, outcome.body));
     }
 
+    bool streamEvents(Connection &connection, const Outcome &outcome)
+    {
+        std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+        for (const auto &[name, value] : outcome.headers) {
+            head += name + ": " + value + "\r\n";
+        }
+        bool sent = connection.send(head + "\r\n");
+        for (const std::string &event : outcome.events) {
+            std::this_thread::sleep_for(outcome.pause);
+            char size[16];
+            std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+            sent = sent && connection.send(size + event + "\r\n");
+            if (outcome.crashes) {
+                std::this_thread::sleep_for(outcome.pause); // The next token is not written any more.
+                crash(milliseconds(2000));
+                return false;
+            }
+        }
+        return sent && connection.send("0\r\n\r\n");
+    }
+
     Store &m_store;
     Record &m_record;
     std::string m_name;
