--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -380,6 +380,18 @@
         return answer && answer->status() == 200;
     }
 
+    /// Returns the resident memory of the process, as the platform measures it.
+    [[nodiscard]] long residentKilobytes() const
+    {
+        std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("VmRSS:")) {
+                return std::stol(line.substr(6));
+            }
+        }
+        return 0;
+    }
+
     [[nodiscard]] Address callerAddress() const
     {
         return {m_ip, m_ports.caller};
