--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
 /**
  * @file
- * A request crashes each replica that begins to run it, at once, and comes again at all nodes. After its third crash and contactMs it may
- * reach replicas three more times.
+ * The open connections to the store go silent, and a route is moved to another service half a second later. Requests that are sent later
+ * than configMs after the acknowledgement, and later than contactMs after the connections went silent, must reach the new service.
  */
 
 #include "../common/deployment.h"
@@ -12,14 +12,18 @@
 {
 
 constexpr std::size_t FrontCount = 3;
-constexpr std::size_t ReplicaCount = 3;
-constexpr milliseconds ObservedTime{30'000};
-constexpr milliseconds RepeatInterval{1000};
-constexpr milliseconds SoundInterval{100};
-constexpr std::size_t CrashesBeforeBound = 3;
-constexpr std::size_t AllowedRetries = 3;
+constexpr milliseconds RequestInterval{50};
+constexpr milliseconds ObservedTime{9000};
 
-constexpr const char *HarmfulBody = "a booking that crashes the replica";
+/// Added to the bounds, for the time between the events and their recording.
+constexpr milliseconds Slack{100};
+
+boost::json::array makeRoutes(const std::string &service, int timeoutMs)
+{
+    boost::json::object route = makeRoute("/visits/", "safe", service, 2);
+    route["timeoutMs"] = timeoutMs;
+    return {route};
+}
 
 } // namespace
 
@@ -35,26 +39,16 @@
     if (!store.start()) {
         return NotRun;
     }
-    boost::json::object booking = makeRoute("/bookings/", "unsafe", "visit-desk", 1);
-    boost::json::object schedule = makeRoute("/visits/", "safe", "visit-desk", 2);
-    schedule["name"] = "r-schedule";
-    store.put("op", "config", makeConfiguration(3, {booking, schedule}, {"visit-desk"}));
-
-    const bool crashes = troubleWanted();
-    std::mutex mutex;
-    std::vector<Clock::time_point> arrivals; // Of the harmful request, at all replicas.
-    const Replica::Handler handler = [&](const Message &request) {
-        if (request.body != HarmfulBody) {
-            return Replica::Outcome{200, {}, "done", false};
-        }
-        const std::lock_guard lock(mutex);
-        arrivals.push_back(Clock::now());
-        return Replica::Outcome{200, {}, "done", crashes};
-    };
+    const std::vector<std::string> services = {"visits-old", "visits-new"};
+    store.put("op", "config", makeConfiguration(3, makeRoutes("visits-old", 800), services));
     std::vector<std::unique_ptr<Replica>> replicas;
-    for (std::size_t index = 0; index < ReplicaCount; ++index) {
-        replicas.push_back(std::make_unique<Replica>(
-            store, record, "desk-" + std::to_string(index), "visit-desk", "127.0.0." + std::to_string(21 + index), handler));
+    for (int index = 0; index < 4; ++index) {
+        const std::string name = (index < 2 ? "old-" : "new-") + std::to_string(index);
+        const Replica::Handler answer = [name](const Message &) {
+            return Replica::Outcome{200, {{"X-Served-By", name}}, "schedule", false};
+        };
+        replicas.push_back(
+            std::make_unique<Replica>(store, record, name, services[index < 2 ? 0 : 1], "127.0.0." + std::to_string(21 + index), answer));
         if (!replicas.back()->start()) {
             return NotRun;
         }
@@ -64,48 +58,53 @@
         record.report("the front nodes are not ready");
         return NotRun;
     }
-    std::this_thread::sleep_for(milliseconds(3000));
+    std::this_thread::sleep_for(milliseconds(2000));
 
-    const auto end = Clock::now() + ObservedTime;
-    std::atomic<int> served = 0;
+    // A configuration that changes a time-out only. The operator's next one follows soon.
+    store.put("op", "config", makeConfiguration(7, makeRoutes("visits-old", 900), services));
+    record.report("configuration 7 acknowledged: another time-out");
+    std::this_thread::sleep_for(milliseconds(200));
+    const auto silentAt = Clock::now();
+    if (troubleWanted()) {
+        store.silenceOpenConnections();
+        record.report("the open connections to the store are silent; new ones work");
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    const auto acknowledgedAt = store.put("op", "config", makeConfiguration(9, makeRoutes("visits-new", 900), services));
+    record.report("configuration 9 acknowledged: the route is moved to visits-new");
+
+    const auto boundFrom = std::max(acknowledgedAt + ConfigTime, silentAt + ContactTime) + Slack;
+    std::atomic<int> violations = 0;
+    std::atomic<int> judged = 0;
+    std::atomic<int> unanswered = 0;
     std::vector<std::thread> callers;
     for (const auto &front : fronts) {
         callers.emplace_back([&, number = 0]() mutable {
-            while (Clock::now() < end) {
-                const std::string id = front->name() + "-sound-" + std::to_string(++number);
-                const auto answer = exchange(front->callerAddress(),
-                    encodeRequest("GET", "/visits/" + std::to_string(number), id, milliseconds(1500), ""),
-                    milliseconds(1500));
-                served += answer && answer->status() == 200 ? 1 : 0;
-                std::this_thread::sleep_for(SoundInterval);
+            while (Clock::now() < silentAt + ObservedTime) {
+                const std::string id = front->name() + "-" + std::to_string(++number);
+                const auto sentAt = Clock::now();
+                const auto answer =
+                    exchange(front->callerAddress(), encodeRequest("GET", "/visits/week", id, milliseconds(1500), ""), milliseconds(1500));
+                const std::string servedBy = answer ? answer->header("X-Served-By") : "";
+                const bool isJudged = sentAt > boundFrom;
+                const bool isViolation = isJudged && servedBy.starts_with("old-");
+                judged += isJudged ? 1 : 0;
+                violations += isViolation ? 1 : 0;
+                unanswered += servedBy.empty() ? 1 : 0;
+                const auto age = std::chrono::duration_cast<milliseconds>(sentAt - acknowledgedAt).count();
+                record.add("answer request=" + id + " front=" + front->name() + " sent_ms_after_ack=" + std::to_string(age)
+                    + " status=" + (answer ? answer->secondWord : "none") + " served_by=" + servedBy + (isViolation ? " TOO_LATE" : ""));
+                std::this_thread::sleep_for(RequestInterval);
             }
         });
     }
-    for (int number = 1; Clock::now() < end; ++number) {
-        const auto &front = fronts[static_cast<std::size_t>(number) % fronts.size()];
-        const std::string id = "harmful-" + std::to_string(number);
-        const auto answer = exchange(
-            front->callerAddress(), encodeRequest("POST", "/bookings/42", id, milliseconds(1500), HarmfulBody), milliseconds(1500));
-        record.add("answer request=" + id + " front=" + front->name() + " status=" + (answer ? answer->secondWord : "none"));
-        std::this_thread::sleep_for(RepeatInterval);
-    }
     for (std::thread &caller : callers) {
         caller.join();
     }
-
-    const std::lock_guard lock(mutex);
-    if (arrivals.size() < CrashesBeforeBound && crashes) {
-        record.report("crashes=" + std::to_string(arrivals.size()) + ", too few for the bound to apply");
-        return arrivals.empty() ? NotRun : Held;
-    }
-    std::size_t late = 0;
-    if (crashes) {
-        const auto boundFrom = arrivals[CrashesBeforeBound - 1] + ContactTime;
-        late = static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [&](const auto &at) {
-            return at > boundFrom;
-        }));
+    record.report("judged=" + std::to_string(judged) + " run_by_the_old_service=" + std::to_string(violations)
+        + " without_success=" + std::to_string(unanswered));
+    if (judged == 0 || unanswered > judged / 2) {
+        return NotRun;
     }
-    record.report("arrivals=" + std::to_string(arrivals.size()) + " later_than_contact_time_after_third_crash=" + std::to_string(late)
-        + " allowed=" + std::to_string(AllowedRetries) + " sound_served=" + std::to_string(served));
-    return late > AllowedRetries ? Broken : Held;
+    return violations > 0 ? Broken : Held;
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,7 +1,7 @@
 /**
  * @file
- * A replica restarts under its id and is used again before its new entry has reached the nodes. Later it is full for some seconds and says
- * so with 503 and Retry-After. The nodes must then leave it alone.
+ * A requester sends a request whose body looks like another request and whose Transfer-Encoding does not end with `chunked`, so that its
+ * length is not known. HTTP/1.1 (RFC 9112, 6.3) has such a request refused. No replica may run what stands in the body.
  */
 
 #include "../common/deployment.h"
@@ -11,15 +11,8 @@
 namespace
 {
 
-constexpr milliseconds DownTime{1500};
-constexpr milliseconds RegistrationDelay{600};
-constexpr milliseconds FullTime{8000};
-constexpr int RetryAfterSeconds = 4;
-constexpr milliseconds RequestInterval{150};
-
-/// From the rule: requests count from half a second after the answer; more than two break it.
-constexpr milliseconds Grace{500};
-constexpr int AllowedRequests = 2;
+constexpr int RequestCount = 20;
+constexpr milliseconds AnswerTime{700};
 
 } // namespace
 
@@ -35,23 +28,15 @@
     if (!store.start()) {
         return NotRun;
     }
-    store.put("op", "config", makeConfiguration(3, {makeRoute("/visits/", "safe", "visit-desk", 2)}, {"visit-desk"}));
-
+    store.put("op", "config", makeConfiguration(3, {makeRoute("/bookings/", "unsafe", "visit-desk", 1)}, {"visit-desk"}));
     std::mutex mutex;
-    Clock::time_point fullFrom = Clock::time_point::max();
-    Clock::time_point fullUntil = Clock::time_point::max();
-    std::vector<Clock::time_point> refused; // Times of the answers with Retry-After.
-    const Replica::Handler handler = [&](const Message &) {
+    std::set<std::string> run;
+    const Replica::Handler handler = [&](const Message &request) {
         const std::lock_guard lock(mutex);
-        const auto now = Clock::now();
-        if (now < fullFrom || now > fullUntil) {
-            return Replica::Outcome{200, {}, "schedule", false};
-        }
-        refused.push_back(now);
-        return Replica::Outcome{503, {{"X-Not-Executed", "1"}, {"Retry-After", std::to_string(RetryAfterSeconds)}}, "", false};
+        run.insert(request.header("X-Request-Id"));
+        return Replica::Outcome{200, {}, "booked", false};
     };
     Replica replica(store, record, "desk-0", "visit-desk", "127.0.0.21", handler);
-    replica.keepIdAtRestart(RegistrationDelay);
     if (!replica.start()) {
         return NotRun;
     }
@@ -60,50 +45,39 @@
         record.report("the front node is not ready");
         return NotRun;
     }
-    std::this_thread::sleep_for(milliseconds(2000));
+    std::this_thread::sleep_for(milliseconds(1000));
 
-    std::atomic<bool> stopping = false;
-    std::atomic<int> served = 0;
-    std::thread caller([&, number = 0]() mutable {
-        while (!stopping) {
-            const std::string id = "request-" + std::to_string(++number);
-            const auto answer = exchange(fronts.front()->callerAddress(),
-                encodeRequest("GET", "/visits/" + std::to_string(number), id, milliseconds(1500), ""),
-                milliseconds(1500));
-            served += answer && answer->status() == 200 ? 1 : 0;
-            record.add("answer request=" + id + " status=" + (answer ? answer->secondWord : "none"));
-            std::this_thread::sleep_for(RequestInterval);
+    std::set<std::string> sent;
+    int answered = 0;
+    for (int number = 1; number <= RequestCount; ++number) {
+        const std::string id = "request-" + std::to_string(number);
+        const std::string body = encodeRequest("POST", "/bookings/7", "in-the-body-of-" + id, milliseconds(1500), "two dressers");
+        const std::string framing =
+            troubleWanted() ? "Transfer-Encoding: identity\r\n" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        sent.insert(id);
+        const auto connection = Connection::open(fronts.front()->callerAddress());
+        if (!connection) {
+            return NotRun;
         }
-    });
-    std::this_thread::sleep_for(milliseconds(2000));
-    if (troubleWanted()) {
-        replica.crash(DownTime);
-    }
-    // The replica is back and registered for seconds, and the node is in touch with it, when it becomes full.
-    std::this_thread::sleep_for(DownTime + RegistrationDelay + milliseconds(4000));
-    const int servedBefore = served;
-    {
-        const std::lock_guard lock(mutex);
-        fullFrom = Clock::now();
-        fullUntil = fullFrom + FullTime;
+        connection->send("POST /bookings/note HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 1500\r\n"
+            + framing + "\r\n" + body);
+        std::string statuses;
+        while (const auto answer = connection->read(Clock::now() + AnswerTime)) {
+            ++answered;
+            statuses += ' ' + answer->secondWord + '(' + answer->header("X-Request-Id") + ')';
+        }
+        record.add("answers request=" + id + statuses);
     }
-    record.report("the replica is full and answers 503 with Retry-After");
-    std::this_thread::sleep_for(FullTime + milliseconds(1000));
-    stopping = true;
-    caller.join();
 
     const std::lock_guard lock(mutex);
-    int most = 0;
-    for (const auto &answeredAt : refused) {
-        const auto late = std::count_if(refused.begin(), refused.end(), [&](const auto &at) {
-            return at > answeredAt + Grace && at < answeredAt + std::chrono::seconds(RetryAfterSeconds);
-        });
-        most = std::max(most, static_cast<int>(late));
+    int unasked = 0;
+    for (const std::string &id : run) {
+        unasked += sent.contains(id) ? 0 : 1;
     }
-    record.report("refused=" + std::to_string(refused.size()) + " most_within_the_time_of_one_retry_after=" + std::to_string(most)
-        + " allowed=" + std::to_string(AllowedRequests) + " served_before=" + std::to_string(servedBefore));
-    if (servedBefore < 10 || refused.empty()) {
+    record.report("requests=" + std::to_string(sent.size()) + " answers=" + std::to_string(answered)
+        + " run_though_no_requester_sent_them=" + std::to_string(unasked));
+    if (answered == 0) {
         return NotRun;
     }
-    return most > AllowedRequests ? Broken : Held;
+    return unasked > 0 ? Broken : Held;
 }
--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -83,6 +83,8 @@
         bool crashes = false; ///< The process ends at once, or after the first event if there are events.
         std::vector<std::string> events = {}; ///< The events of a stream, instead of the body.
         milliseconds pause{0}; ///< Time before each event.
+        int silentAfter = 0; ///< Number of events after which the replica is silent for a time and goes on; 0 for none.
+        milliseconds silence{0};
     };
     using Handler = std::function<Outcome(const Message &request)>;
 
@@ -259,11 +261,15 @@
             head += name + ": " + value + "\r\n";
         }
         bool sent = connection.send(head + "\r\n");
+        int number = 0;
         for (const std::string &event : outcome.events) {
             std::this_thread::sleep_for(outcome.pause);
             char size[16];
             std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
             sent = sent && connection.send(size + event + "\r\n");
+            if (++number == outcome.silentAfter) {
+                std::this_thread::sleep_for(outcome.silence);
+            }
             if (outcome.crashes) {
                 std::this_thread::sleep_for(outcome.pause); // The next token is not written any more.
                 crash(milliseconds(2000));
@@ -374,6 +380,11 @@
         }
     }
 
+    void sendSignal(int signal) const
+    {
+        kill(m_process, signal);
+    }
+
     [[nodiscard]] bool isReady() const
     {
         const auto answer = exchange({m_ip, m_ports.ready}, "GET /v1/readyz HTTP/1.1\r\nHost: ready\r\n\r\n", milliseconds(500));
