--- a/review/common/deployment.h
+++ b/review/common/deployment.h
@@ -31,7 +31,6 @@
 /// Bounds of the installation sheet of habimana-mills in SYSTEM.md.
 constexpr milliseconds ContactTime{3000};
 constexpr milliseconds ConfigTime{2000};
-constexpr milliseconds DrainTime{2000};
 constexpr milliseconds HeartbeatInterval{1200};
 
 /// Lines of record.txt, with the time in milliseconds since the start. Thread-safe.
@@ -69,7 +68,8 @@
 
 /**
  * Stand-in for a replica, after PROTOCOL.md, "Replicas" and "Service discovery": it registers in the store, renews its entry, serves one
- * request at a time on a connection and echoes the id of the request. After a crash it is back as a new process at its address.
+ * request at a time on a connection and echoes the id of the request. After a crash it is back as a new process with another id at its
+ * address.
  */
 class Replica
 {
@@ -133,36 +133,17 @@
             }
             m_up = false;
             m_backAt = Clock::now() + downTime;
-            m_crashedAt = Clock::now();
         }
         m_record.add("crash replica=" + m_name);
         m_server.crash();
     }
 
-    /// A restarted process keeps its id; otherwise it gets a new one.
-    void keepIdAtRestart(milliseconds registrationDelay)
-    {
-        m_keepsId = true;
-        m_registrationDelay = registrationDelay;
-    }
-
     [[nodiscard]] std::string id() const
     {
         const std::lock_guard lock(m_mutex);
         return currentId();
     }
 
-    [[nodiscard]] const std::string &name() const
-    {
-        return m_name;
-    }
-
-    [[nodiscard]] bool up() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_up;
-    }
-
 private:
     static std::int64_t wallClockMs()
     {
@@ -171,7 +152,7 @@
 
     [[nodiscard]] std::string currentId() const
     {
-        return "i-" + m_name + (m_keepsId ? "" : "-" + std::to_string(m_process));
+        return "i-" + m_name + '-' + std::to_string(m_process);
     }
 
     void begin()
@@ -181,7 +162,7 @@
         m_up = true;
         m_sequence = 0;
         m_born = wallClockMs();
-        m_nextHeartbeat = Clock::now() + (m_process > 1 ? m_registrationDelay : milliseconds(0));
+        m_nextHeartbeat = Clock::now();
     }
 
     void run()
@@ -287,15 +268,12 @@
     mutable std::mutex m_mutex;
     int m_process = 0;
     bool m_up = false;
-    bool m_keepsId = false;
-    milliseconds m_registrationDelay{0};
     std::int64_t m_sequence = 0;
     std::int64_t m_born = 0;
     std::optional<std::string> m_entry; ///< Key of the entry in the store.
     std::optional<Clock::time_point> m_lastHeartbeat;
     Clock::time_point m_nextHeartbeat;
     Clock::time_point m_backAt;
-    Clock::time_point m_crashedAt;
     std::atomic<bool> m_stopping = false;
     std::thread m_heartbeats;
     Server m_server;
@@ -391,18 +369,6 @@
         return answer && answer->status() == 200;
     }
 
-    /// Returns the resident memory of the process, as the platform measures it.
-    [[nodiscard]] long residentKilobytes() const
-    {
-        std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("VmRSS:")) {
-                return std::stol(line.substr(6));
-            }
-        }
-        return 0;
-    }
-
     [[nodiscard]] Address callerAddress() const
     {
         return {m_ip, m_ports.caller};
