--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -4,7 +4,7 @@
  * than configMs after the acknowledgement, and later than contactMs after the connections went silent, must reach the new service.
  */
 
-#include "../common/deployment.h"
+#include "../deployment.h"
 
 using namespace review;
 
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -4,7 +4,7 @@
  * length is not known. HTTP/1.1 (RFC 9112, 6.3) has such a request refused. No replica may run what stands in the body.
  */
 
-#include "../common/deployment.h"
+#include "../deployment.h"
 
 using namespace review;
 
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -4,7 +4,7 @@
  * reach replicas three more times.
  */
 
-#include "../common/deployment.h"
+#include "../deployment.h"
 
 using namespace review;
 
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -4,7 +4,7 @@
  * that part, no two alike, come at all nodes. After the fifth crash and contactMs, three more of them may reach replicas.
  */
 
-#include "../common/deployment.h"
+#include "../deployment.h"
 
 using namespace review;
 
