--- /dev/null
+++ b/src/app/request_forwarder_outcome.cpp
@@ -0,0 +1,147 @@
+#include "apricotarch/app/request_forwarder.h"
+
+#include <utility>
+
+#include "active_attempt.h"
+
+// Outcomes: what the end of an attempt says of the request, the server and the prompt.
+
+namespace apricotarch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A connection that is lost within this time was closed before the server had read the request, so it is no sign of a crash.
+constexpr Duration ShortestTimeToCrash = 5ms;
+
+/// Whether callers take a status for the promise that the request has not run and will not run.
+bool promisesNotExecuted(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+RequestForwarder::Attempt RequestForwarder::handleResponse(ActiveAttempt &activeAttempt)
+{
+    const TimePoint now = m_state.clock.now();
+    Attempt attempt;
+    attempt.answer = *activeAttempt.answer;
+    attempt.body = std::move(activeAttempt.connection->body());
+    // The end of the connection is the only sign of the answer's end then, and an engine that crashes ends its connections too.
+    const bool endsWithoutEvent =
+        activeAttempt.relaysEvents && activeAttempt.connection->head().endsWithConnection && !activeAttempt.firstEventAt;
+    if (activeAttempt.connection->endExchange()) {
+        m_state.backendPool.release(activeAttempt.connection, now);
+    }
+    const int status = attempt.answer.status;
+    if (attempt.answer.notExecuted && (status == 503 || status == 429 || status == 421)) {
+        attempt.result = AttemptResult::NotExecuted;
+        activeAttempt.backend->recordFailure(now);
+        return attempt;
+    }
+    if (const char *fault = findFault(activeAttempt, attempt.answer, endsWithoutEvent)) {
+        m_mayHaveExecuted = true;
+        if (endsWithoutEvent) {
+            recordPossibleCrash(activeAttempt);
+        }
+        attempt.result = AttemptResult::Broken;
+        attempt.error =
+            Error{ErrorId::MalformedMessage, "backend.read", activeAttempt.backend->record.address.text(), fault, Delivery::MaybeSent};
+        return attempt;
+    }
+    m_mayHaveExecuted = true;
+    if (status >= 500) {
+        attempt.result = AttemptResult::ServerError;
+        return attempt;
+    }
+    activeAttempt.backend->recordSuccess();
+    if (activeAttempt.prefillOnly) {
+        activeAttempt.backend->answeredPrefills.record(activeAttempt.startedAt);
+    } else {
+        recordPromptAnswered(activeAttempt);
+    }
+    attempt.result = AttemptResult::Answered;
+    return attempt;
+}
+
+const char *RequestForwarder::findFault(const ActiveAttempt &activeAttempt, const BackendAnswer &answer, bool endsWithoutEvent) const
+{
+    if (answer.success() && !activeAttempt.prefillOnly && (!answer.isSigned || !answer.request)) {
+        return "the response lacks a signature or a request id";
+    }
+    if (activeAttempt.relaysEvents && !m_eventSplitter.isBetweenEvents()) {
+        return "the stream ends within an event";
+    }
+    if (endsWithoutEvent) {
+        return "the stream ends with its connection before the first event";
+    }
+    const bool continuesStream = m_response.streamStarted() && !activeAttempt.prefillOnly;
+    if (continuesStream && answer.success() && !activeAttempt.firstEventAt && !answer.isEventStream) {
+        return "the response does not continue the stream";
+    }
+    if (continuesStream && !answer.success() && answer.status < 500) {
+        return "the server has answered the rest of the stream with an error";
+    }
+    const bool mayBeRepeated = m_route->idempotent() || activeAttempt.prefillOnly;
+    if (promisesNotExecuted(answer.status) && !answer.notExecuted && !mayBeRepeated) {
+        return "the status promises that the request has not run, but the response does not state it";
+    }
+    return nullptr;
+}
+
+RequestForwarder::Attempt RequestForwarder::handleConnectionLoss(ActiveAttempt &activeAttempt)
+{
+    const TimePoint now = m_state.clock.now();
+    Attempt attempt;
+    attempt.error = activeAttempt.connection->error();
+    const bool maybeSent = activeAttempt.connection->maybeSent();
+    activeAttempt.connection->close();
+    activeAttempt.backend->recordFailure(now);
+    if (!maybeSent) {
+        attempt.result = AttemptResult::NotSent;
+        return attempt;
+    }
+    m_mayHaveExecuted = true;
+    attempt.result = AttemptResult::Broken;
+    attempt.answerStarted = activeAttempt.firstEventAt.has_value();
+    if (!activeAttempt.prefillOnly && attempt.error.id == ErrorId::ConnectionLost && now - activeAttempt.startedAt > ShortestTimeToCrash) {
+        recordPossibleCrash(activeAttempt);
+    }
+    return attempt;
+}
+
+void RequestForwarder::recordPossibleCrash(const ActiveAttempt &activeAttempt)
+{
+    const TimePoint now = m_state.clock.now();
+    m_state.crashTracker.recordCrash(activeAttempt.backend->record.id, m_contentHash, now);
+    // An engine crashes when it begins the answer, so a prompt whose answer had begun is not the cause.
+    if (m_request.prompt && !activeAttempt.firstEventAt) {
+        m_state.partQuarantine.recordCrash(m_request.prompt->parts, activeAttempt.engineProcess, now);
+        m_state.notifyUrgentChange();
+    }
+}
+
+void RequestForwarder::recordPromptAnswered(ActiveAttempt &activeAttempt)
+{
+    if (m_request.prompt && !std::exchange(activeAttempt.promptAnswered, true)) {
+        m_state.partQuarantine.recordAnswer(m_request.prompt->parts, m_state.clock.now());
+    }
+}
+
+RequestForwarder::Attempt RequestForwarder::abandonAttempt(ActiveAttempt &activeAttempt)
+{
+    Attempt attempt;
+    attempt.finished = true;
+    attempt.result = activeAttempt.connection->maybeSent() ? AttemptResult::Silent : AttemptResult::NotSent;
+    m_mayHaveExecuted = m_mayHaveExecuted || (activeAttempt.connection->maybeSent() && !activeAttempt.prefillOnly);
+    activeAttempt.connection->close();
+    m_caller.isClosed() ? handleCallerDisconnect() : handleTimeout();
+    m_finished = true;
+    return attempt;
+}
+
+} // namespace apricotarch
