Log the age of a shutdown and of the request where a caller's connection is cut

The lines could not tell a request that was taken late in the grace period from one that was in progress at the signal, nor the end of the grace period from the caller's limit, and a process that ended with unsent output or beside a request that was arriving left no line. caller.closed_incomplete has stopping_ms and request_ms, the outcome node_stopping is apart from out_of_time, and node.stopped counts the connections that the end of the process cuts.

The times of a stop are in ShutdownSchedule, and the open connections of callers in an intrusive list.

--- a/include/apricotarch/app/caller_response_writer.h
+++ b/include/apricotarch/app/caller_response_writer.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "apricotarch/app/front_state.h"
 #include "apricotarch/transport/backend_protocol_adapter.h"
 #include "apricotarch/transport/caller_connection.h"
 
@@ -29,11 +30,11 @@
     /**
      * @param caller the connection to write to; must outlive this object
      * @param options options of the connection
-     * @param shuttingDown whether the node is shutting down, so that responses announce the close of their connections; must outlive
-     *     this object, which reads it at each use
+     * @param state the node's state; responses announce the close of their connections if the node is shutting down when they begin.
+     *     Must outlive this object
      * @param isHeadRequest whether the request's method is HEAD, so that the response has no body
      */
-    CallerResponseWriter(CallerConnection &caller, CallerConnectionOptions options, const bool &shuttingDown, bool isHeadRequest);
+    CallerResponseWriter(CallerConnection &caller, CallerConnectionOptions options, const FrontState &state, bool isHeadRequest);
 
     // ---- state ----
 
@@ -88,7 +89,7 @@
 
     CallerConnection &m_caller;
     CallerConnectionOptions m_options;
-    const bool &m_shuttingDown;
+    const FrontState &m_state;
     bool m_isHeadRequest;
     bool m_streamStarted = false;
 };
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -17,11 +17,13 @@
 #include "apricotarch/coordination/crash_tracker.h"
 #include "apricotarch/coordination/engine_groups.h"
 #include "apricotarch/coordination/prompt_part_quarantine.h"
+#include "apricotarch/coordination/shutdown_schedule.h"
 #include "apricotarch/state/metrics.h"
 #include "apricotarch/state/rate_meter.h"
 #include "apricotarch/state/routing_plan.h"
 #include "apricotarch/transport/backend_connection.h"
 #include "apricotarch/transport/backend_protocol_adapter.h"
+#include "apricotarch/transport/caller_connection.h"
 
 namespace apricotarch
 {
@@ -57,10 +59,15 @@
     /// Applies what an answer of a backend server states about the server itself. Called for each answer, whatever it answers.
     void recordServerStatements(const BackendConnection &connection, const AnswerHead &head);
 
+    [[nodiscard]] bool isShuttingDown() const noexcept
+    {
+        return shutdown.has_value();
+    }
+
     /// Whether the node accepts new callers.
     [[nodiscard]] bool isReady() const noexcept
     {
-        return !shuttingDown && plan->version() > 0 && serversLoaded;
+        return !isShuttingDown() && plan->version() > 0 && serversLoaded;
     }
 
     /**
@@ -112,8 +119,8 @@
     std::mt19937_64 random; ///< For jitter and the weighted choice of services.
     std::size_t activeRequests = 0; ///< Number of requests in progress.
     std::size_t bufferedBodyBytes = 0; ///< Total size of the buffered request bodies.
-    bool shuttingDown = false; ///< Whether the shutdown has started.
-    std::optional<TimePoint> answersDueBy; ///< During a shutdown: when requests get their final answer, since the process ends soon after.
+    CallerConnectionList callers; ///< Connections of callers that are open.
+    std::optional<ShutdownSchedule> shutdown; ///< Set when the shutdown begins.
 };
 
 } // namespace apricotarch
--- a/include/apricotarch/transport/caller_connection.h
+++ b/include/apricotarch/transport/caller_connection.h
@@ -7,12 +7,15 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "apricotarch/base/clock.h"
 #include "apricotarch/transport/async_event.h"
 
 namespace apricotarch
@@ -20,7 +23,8 @@
 
 /// A caller's connection. It reads continuously, so that a disconnect is detected while a request is being served. Must only be used on the
 /// event loop of its socket.
-class CallerConnection : public boost::intrusive_ref_counter<CallerConnection, boost::thread_unsafe_counter>
+class CallerConnection : public boost::intrusive_ref_counter<CallerConnection, boost::thread_unsafe_counter>,
+                         public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
     explicit CallerConnection(asio::ip::tcp::socket socket);
@@ -67,6 +71,27 @@
         return m_changeEvent;
     }
 
+    /// Records that the first bytes of a request have arrived.
+    void beginRequest(TimePoint now) noexcept
+    {
+        m_requestBegunAt = now;
+    }
+
+    /// Records that the answer to the request has been sent, or that there will be none.
+    void endRequest() noexcept
+    {
+        m_requestBegunAt.reset();
+    }
+
+    /// When the first bytes of the request in progress arrived; empty if none is in progress.
+    [[nodiscard]] std::optional<TimePoint> requestBegunAt() const noexcept
+    {
+        return m_requestBegunAt;
+    }
+
+    /// Whether a request is in progress or has arrived, or output waits to be sent.
+    [[nodiscard]] bool isBusy() const;
+
     /// Counts a request that is about to be served.
     void countRequest() noexcept
     {
@@ -117,9 +142,13 @@
     std::string m_sending;
     std::array<char, ReadChunkBytes> m_chunk{};
     std::size_t m_requestCount = 0;
+    std::optional<TimePoint> m_requestBegunAt;
     bool m_reading = false;
     bool m_closed = false;
     bool m_shutdownRequested = false;
 };
 
+/// Connections of callers, each in the list while it is served.
+using CallerConnectionList = boost::intrusive::list<CallerConnection, boost::intrusive::constant_time_size<false>>;
+
 } // namespace apricotarch
--- a/src/app/caller_response_writer.cpp
+++ b/src/app/caller_response_writer.cpp
@@ -35,10 +35,10 @@
 } // namespace
 
 CallerResponseWriter::CallerResponseWriter(
-    CallerConnection &caller, CallerConnectionOptions options, const bool &shuttingDown, bool isHeadRequest)
+    CallerConnection &caller, CallerConnectionOptions options, const FrontState &state, bool isHeadRequest)
     : m_caller(caller)
     , m_options(options)
-    , m_shuttingDown(shuttingDown)
+    , m_state(state)
     , m_isHeadRequest(isHeadRequest)
 {
 }
@@ -59,7 +59,7 @@
 
 void CallerResponseWriter::appendConnectionHeader(std::string &message)
 {
-    if (!m_options.keepAlive || m_shuttingDown) {
+    if (!m_options.keepAlive || m_state.isShuttingDown()) {
         m_options.keepAlive = false;
         message += "Connection: close\r\n";
     }
--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -91,6 +91,7 @@
         m_lastByteAt = m_state.clock.now();
         if (!m_firstByteAt) {
             m_firstByteAt = m_lastByteAt;
+            m_caller.beginRequest(m_lastByteAt);
             resetParser(); // The configuration may have changed while the connection was idle.
         }
         const Result<std::size_t> consumed = m_parser->parse(m_caller.input());
@@ -173,12 +174,12 @@
 }
 
 /**
- * Closes the connection after discarding input. Closing it with unread input would reset it, and the last response could be lost.
+ * Closes the connection after discarding input. Closing it with unread input would reset it, and the last response could be lost. All
+ * output must have been sent.
  * @return number of bytes that were discarded
  */
 asio::awaitable<std::size_t> linger(FrontState &state, CallerConnection &caller)
 {
-    co_await flush(state, caller);
     caller.shutdownSend();
     const TimePoint until = state.clock.now() + LingerTimeout;
     std::size_t discarded = 0;
@@ -240,7 +241,10 @@
         if (!canReuse) {
             break;
         }
+        caller->endRequest();
     }
+    co_await flush(state, *caller);
+    caller->endRequest();
     if (!caller->isClosed()) {
         const std::size_t discarded = co_await linger(state, *caller);
         // After a refusal, the input is the rest of the refused request.
@@ -257,14 +261,17 @@
 {
     const boost::intrusive_ptr<CallerConnection> caller(new CallerConnection(std::move(socket)));
     caller->start();
+    state.callers.push_back(*caller);
     try {
         co_await serveRequests(state, caller);
     } catch (...) {
         // The pending read would keep the connection open, and the caller waiting.
         reportIncompleteClose(state, *caller, {.reason = "exception"});
         caller->close();
+        caller->unlink();
         throw;
     }
+    caller->unlink();
 }
 
 } // namespace apricotarch
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -140,7 +140,7 @@
     if (partial != std::exchange(m_usedPartialView, partial)) {
         LogEvent("peers.view").field("view", partial ? "partial" : "full").field("nodes", m_state.peers.countBudgetNodes(now));
     }
-    const CoordinatorSighting coordinator = m_state.peers.coordinator(!m_state.shuttingDown, now);
+    const CoordinatorSighting coordinator = m_state.peers.coordinator(!m_state.isShuttingDown(), now);
     if (partial && coordinator.node != m_coordinator) {
         LogEvent("peers.coordinator")
             .field("node", coordinator.node)
@@ -171,7 +171,7 @@
     heartbeat.callerAddress = settings.callerAddress;
     heartbeat.peerAddress = settings.peerAddress;
     heartbeat.ready = m_state.isReady();
-    heartbeat.shuttingDown = m_state.shuttingDown;
+    heartbeat.shuttingDown = m_state.isShuttingDown();
     heartbeat.planVersion = m_fleetTables.planVersion();
     heartbeat.serversVersion = m_fleetTables.serversVersion();
     heartbeat.timerLag = m_loopLag;
@@ -187,7 +187,7 @@
     addStageChanges(heartbeat);
     heartbeat.announcedPeers = m_state.peers.nextAnnouncedPeers(now);
     heartbeat.knownNodes = m_state.peers.countBudgetNodes(now);
-    const CoordinatorSighting coordinator = m_state.peers.coordinator(!m_state.shuttingDown, now);
+    const CoordinatorSighting coordinator = m_state.peers.coordinator(!m_state.isShuttingDown(), now);
     heartbeat.coordinator = coordinator.node;
     heartbeat.coordinatorAge = coordinator.age;
     heartbeat.sightings = m_state.peers.sightings(now, m_state.random);
--- a/src/app/front.cpp
+++ b/src/app/front.cpp
@@ -17,6 +17,7 @@
 #include "apricotarch/app/cli.h"
 #include "apricotarch/app/fleet_synchronizer.h"
 #include "apricotarch/app/front_state.h"
+#include "apricotarch/app/incomplete_close.h"
 #include "apricotarch/app/stage_controller.h"
 #include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
@@ -45,15 +46,6 @@
 /// Poll interval of the settings file, which may change without a signal.
 constexpr Duration SettingsPollInterval = 2s;
 
-/// Shortest time for which a node keeps serving during shutdown, so that callers first receive other addresses.
-constexpr Duration MinimumServiceTime = 3500ms;
-
-/// The process exits this much before the end of the grace period.
-constexpr Duration ExitMargin = 400ms;
-
-/// Requests get their final answer this much before the process exits, so that it reaches their callers.
-constexpr Duration LastAnswersMargin = 400ms;
-
 /// Longest time that log lines are buffered.
 constexpr Duration LogFlushInterval = 200ms;
 
@@ -236,7 +228,7 @@
     platform::DirectoryAnswer selectAddresses(const ZoneId &zone)
     {
         std::vector<NodeAddress> nodes = m_state.peers.callerAddresses(m_clock.now());
-        if (m_state.isReady() || (nodes.empty() && !m_state.shuttingDown)) {
+        if (m_state.isReady() || (nodes.empty() && !m_state.isShuttingDown())) {
             nodes.push_back({m_state.settings.callerAddress, m_state.settings.zone});
         }
         return {chooseAddresses(nodes, zone, m_state.settings.node), m_state.settings.directoryTtl};
@@ -250,7 +242,7 @@
             }
             if (signal == SIGHUP) {
                 reloadSettings();
-            } else if (!m_state.shuttingDown) {
+            } else if (!m_state.isShuttingDown()) {
                 asio::co_spawn(m_eventLoops.coordinationLoop(), shutDown(), LogFailure("shut_down"));
             }
             awaitSignal();
@@ -299,26 +291,42 @@
 
     asio::awaitable<void> shutDown()
     {
-        const TimePoint startedAt = m_clock.now();
-        m_state.shuttingDown = true;
+        const ShutdownSchedule &schedule = m_state.shutdown.emplace(m_clock.now(), m_state.settings.gracePeriod);
         LogEvent("node.stopping").field("requests", m_state.activeRequests);
         m_fleetSynchronizer.announceShutdown();
-        const TimePoint end = startedAt + m_state.settings.gracePeriod - ExitMargin;
-        m_state.answersDueBy = end - LastAnswersMargin;
-        while (m_clock.now() < end) {
-            const bool servedLongEnough = m_clock.now() - startedAt >= MinimumServiceTime;
-            if (servedLongEnough && m_state.activeRequests == 0) {
+        while (m_clock.now() < schedule.exitsBy()) {
+            if (m_clock.now() >= schedule.servesUntil() && m_state.activeRequests == 0) {
                 break;
             }
             co_await m_clock.sleep(ShutdownPollInterval);
         }
         boost::system::error_code ignored; // The process exits in any case.
         m_acceptor.close(ignored);
-        LogEvent("node.stopped").field("requests", m_state.activeRequests).field("ms", toMilliseconds(m_clock.now() - startedAt));
+        reportConnectionsAtExit();
         flushLogs();
         m_eventLoops.coordinationLoop().stop();
     }
 
+    /// Logs the connections that the end of the process cuts.
+    void reportConnectionsAtExit()
+    {
+        std::size_t cut = 0;
+        std::size_t unsentBytes = 0;
+        for (const CallerConnection &caller : m_state.callers) {
+            if (caller.isBusy() && !caller.isClosed()) {
+                ++cut;
+                unsentBytes += caller.pending();
+                reportIncompleteClose(m_state, caller, {.reason = "process_ends", .discardedInputBytes = caller.unreadBytes()});
+            }
+        }
+        LogEvent("node.stopped")
+            .field("requests", m_state.activeRequests)
+            .field("connections", m_state.callers.size())
+            .field("cut", cut)
+            .field("unsent_bytes", unsentBytes)
+            .field("ms", toMilliseconds(m_clock.now() - m_state.shutdown->startedAt()));
+    }
+
     std::string m_settingsFile;
     std::string m_settingsText;
     SystemClock m_clock;
--- a/src/app/incomplete_close.cpp
+++ b/src/app/incomplete_close.cpp
@@ -15,7 +15,14 @@
     }
     event.field("reused", caller.requestCount() > 1 ? "yes" : "no").field("requests", caller.requestCount());
     event.field("discarded_bytes", close.discardedInputBytes).field("unsent_bytes", caller.pending());
-    event.field("caller", caller.peer()).field("stopping", state.shuttingDown ? "yes" : "no");
+    event.field("caller", caller.peer()).field("stopping", state.isShuttingDown() ? "yes" : "no");
+    const TimePoint now = state.clock.now();
+    if (state.shutdown) {
+        event.field("stopping_ms", toMilliseconds(now - state.shutdown->startedAt()));
+    }
+    if (caller.requestBegunAt()) {
+        event.field("request_ms", toMilliseconds(now - *caller.requestBegunAt()));
+    }
     event.field("plan_in_force", state.plan->version()).field("idle_limit_ms", state.plan->limits().idleTimeout.count());
 }
 
--- a/src/app/node_registration.cpp
+++ b/src/app/node_registration.cpp
@@ -90,7 +90,7 @@
             m_state.peers.addAddress(*peer, now);
         }
     }
-    if (registered || m_state.shuttingDown) {
+    if (registered || m_state.isShuttingDown()) {
         co_return Outcome::Found;
     }
     RowWrite write{{NodesTable, m_state.settings.node.value()}, ownVersion, ownAddress, std::nullopt};
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -42,7 +42,7 @@
     , m_caller(caller)
     , m_request(std::move(request))
     , m_plan(state.plan)
-    , m_response(caller, options, state.shuttingDown, m_request.method == "HEAD")
+    , m_response(caller, options, state, m_request.method == "HEAD")
     , m_eventSplitter(state.protocolAdapter.eventFields())
 {
     ++m_state.activeRequests;
@@ -272,7 +272,7 @@
 
 TimePoint RequestForwarder::deadline() const
 {
-    return std::min(m_deadline, m_state.answersDueBy.value_or(TimePoint::max()));
+    return m_state.shutdown ? std::min(m_deadline, m_state.shutdown->answersDueBy()) : m_deadline;
 }
 
 std::chrono::milliseconds RequestForwarder::remainingTime() const
--- a/src/app/request_forwarder_response.cpp
+++ b/src/app/request_forwarder_response.cpp
@@ -75,11 +75,13 @@
 
 void RequestForwarder::handleTimeout()
 {
-    m_state.metrics.increment(CounterFamily::Answers, "out_of_time");
+    // Before its own deadline, a request ends only because the process does.
+    const char *outcome = m_state.clock.now() < m_deadline ? "node_stopping" : "out_of_time";
+    m_state.metrics.increment(CounterFamily::Answers, outcome);
     if (m_response.streamStarted()) {
-        abortResponse("out_of_time");
+        abortResponse(outcome);
     } else if (m_mayHaveExecuted) {
-        sendLocalResponse(504, "out_of_time", std::nullopt);
+        sendLocalResponse(504, outcome, std::nullopt);
     } else {
         refuse(RefusalReason::TooLate);
     }
--- a/src/app/stage_controller.cpp
+++ b/src/app/stage_controller.cpp
@@ -69,7 +69,7 @@
     while (true) {
         co_await m_state.clock.sleep(PollInterval);
         const TimePoint now = m_state.clock.now();
-        if (m_state.shuttingDown || now - m_startedAt < SettlingTime || !m_state.isReady() || !m_state.peers.isStageController(now)) {
+        if (m_state.isShuttingDown() || now - m_startedAt < SettlingTime || !m_state.isReady() || !m_state.peers.isStageController(now)) {
             continue;
         }
         if (!selectNextChange()) {
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -40,6 +40,11 @@
     return m_input.size() + (code ? 0 : inSocket);
 }
 
+bool CallerConnection::isBusy() const
+{
+    return m_requestBegunAt || pending() > 0 || unreadBytes() > 0;
+}
+
 void CallerConnection::read()
 {
     m_reading = true;
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1554,7 +1554,7 @@
     });
     CallerProbe caller(node, PlanRequest);
     node.runFor(100ms);
-    node.state.shuttingDown = true;
+    node.state.shutdown.emplace(node.state.clock.now(), 8s);
     node.runFor(400ms);
     BOOST_REQUIRE(caller.answer.ends_with("0\r\n\r\n"));
     BOOST_TEST(caller.answer.find("Connection: close") == std::string::npos);
@@ -1576,8 +1576,8 @@
     CallerProbe booking(node, BookingRequest);
     CallerProbe stream(node, PlanRequest);
     node.runFor(100ms);
-    node.state.shuttingDown = true;
-    node.state.answersDueBy = node.state.clock.now() + 300ms;
+    const ShutdownSchedule example(TimePoint(), 8s);
+    node.state.shutdown.emplace(node.state.clock.now() + 300ms - (example.answersDueBy() - TimePoint()), 8s);
     node.runFor(800ms);
     for (const CallerProbe *caller : {&booking, &stream}) {
         BOOST_TEST(caller->answer.starts_with("HTTP/1.1 504"));
