Scale the steps of a planned stop to short grace periods

What callers see: with a grace period of 3 s, requests in progress got their final answer after 2.2 s, before the last sixth of it, and with 1 s at once; a node kept serving without requests for 3.5 s, longer than it lived. Cause: the margins before the end of the grace period are absolute times. Change: each takes at most a share of the grace period. With 8 s nothing changes. Ruled out as part of the incident: its grace period is 8 s.

--- a/src/coordination/shutdown_schedule.cpp
+++ b/src/coordination/shutdown_schedule.cpp
@@ -1,5 +1,7 @@
 #include "apricotarch/coordination/shutdown_schedule.h"
 
+#include <algorithm>
+
 namespace apricotarch
 {
 
@@ -9,7 +11,7 @@
 using namespace std::chrono_literals;
 
 /// Shortest time for which a node keeps serving.
-constexpr Duration MinimumServiceTime = 3500ms;
+constexpr Duration ServiceTime = 3500ms;
 
 /// The process exits this much before the end of the grace period.
 constexpr Duration ExitMargin = 400ms;
@@ -17,6 +19,11 @@
 /// Requests get their final answer this much before the process exits.
 constexpr Duration LastAnswersMargin = 400ms;
 
+// In a short grace period, each step takes at most this share of it.
+constexpr int ServiceShare = 2;
+constexpr int ExitShare = 20;
+constexpr int LastAnswersShare = 12;
+
 } // namespace
 
 ShutdownSchedule::ShutdownSchedule(TimePoint startedAt, Duration gracePeriod) noexcept
@@ -27,17 +34,17 @@
 
 TimePoint ShutdownSchedule::servesUntil() const noexcept
 {
-    return m_startedAt + MinimumServiceTime;
+    return m_startedAt + std::min(ServiceTime, m_gracePeriod / ServiceShare);
 }
 
 TimePoint ShutdownSchedule::answersDueBy() const noexcept
 {
-    return exitsBy() - LastAnswersMargin;
+    return exitsBy() - std::min(LastAnswersMargin, m_gracePeriod / LastAnswersShare);
 }
 
 TimePoint ShutdownSchedule::exitsBy() const noexcept
 {
-    return m_startedAt + m_gracePeriod - ExitMargin;
+    return m_startedAt + m_gracePeriod - std::min(ExitMargin, m_gracePeriod / ExitShare);
 }
 
 } // namespace apricotarch
