Refuse requests that may not end before a planned stop does

Cause: a node that shuts down forwarded every request until the last moment of its grace period, without asking whether the request could end in it. Class: work is accepted without checking that the resource outlives it. Ruled out: unsent output at the end of the process. Change: in a shutdown, requests whose time limit, or their route's, ends before the last answers are due are served as before. Others are served in the first 2.8 s, in which callers may have no other address yet, unless nine of ten recent requests of their route take longer than is left; after that they are refused at once with 503 node_stopping and a short Retry-After, which is true since nothing was sent. A decision on the time limit is safe whatever servers do: only a request that is certain to end is taken late. Evidence: planned_stop/a_request_that_may_not_end_before_the_process failed before (forwarded and answered in place of the refusal).

--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -20,6 +20,7 @@
 #include "apricotarch/coordination/shutdown_schedule.h"
 #include "apricotarch/state/metrics.h"
 #include "apricotarch/state/rate_meter.h"
+#include "apricotarch/state/recent_durations.h"
 #include "apricotarch/state/routing_plan.h"
 #include "apricotarch/transport/backend_connection.h"
 #include "apricotarch/transport/backend_protocol_adapter.h"
@@ -121,6 +122,7 @@
     std::size_t bufferedBodyBytes = 0; ///< Total size of the buffered request bodies.
     CallerConnectionList callers; ///< Connections of callers that are open.
     std::optional<ShutdownSchedule> shutdown; ///< Set when the shutdown begins.
+    RecentDurations routeDurations; ///< Of the requests that servers have answered.
 };
 
 } // namespace apricotarch
--- a/include/apricotarch/coordination/front_refusal.h
+++ b/include/apricotarch/coordination/front_refusal.h
@@ -19,6 +19,7 @@
     Quarantined, ///< The request is quarantined: its content has crashed backend servers.
     ServersFull, ///< Every server that the request may be sent to has declined it.
     Overloaded, ///< The request would wait too long for a server.
+    NodeStopping, ///< The node shuts down, and the request may not end before the process does.
 };
 
 /// Response to a refused request.
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -90,10 +90,14 @@
     const TimePoint now = m_state.clock.now();
     m_state.metrics.increment(CounterFamily::Requests, m_route->name);
     m_state.retryBudget.recordRequest(m_serviceId, now);
-    if (now >= deadline()) {
+    if (now >= m_deadline) {
         refuse(RefusalReason::TooLate);
         return true;
     }
+    if (m_state.shutdown && !m_state.shutdown->admits(now, m_deadline, m_state.routeDurations.longDuration(m_route->name))) {
+        refuse(RefusalReason::NodeStopping);
+        return true;
+    }
     if (m_state.crashTracker.isQuarantined(m_contentHash, now)) {
         refuse(RefusalReason::Quarantined);
         return true;
--- a/src/app/request_forwarder_response.cpp
+++ b/src/app/request_forwarder_response.cpp
@@ -25,10 +25,12 @@
 {
     if (m_response.streamStarted()) {
         m_response.endStream();
+        m_state.routeDurations.record(m_route->name, m_state.clock.now() - m_request.arrivedAt);
         finishRequest(attempt.answer.status, "streamed");
         return;
     }
     m_response.sendFull(attempt.answer, attempt.body);
+    m_state.routeDurations.record(m_route->name, m_state.clock.now() - m_request.arrivedAt);
     finishRequest(attempt.answer.status, "answered");
 }
 
@@ -40,6 +42,8 @@
     std::chrono::milliseconds delay(std::uniform_int_distribution<int>(200, 1000)(m_state.random));
     if (reason == RefusalReason::Quarantined) {
         delay = QuarantineRetryDelay;
+    } else if (reason == RefusalReason::NodeStopping) {
+        delay = std::chrono::milliseconds(std::uniform_int_distribution<int>(50, 250)(m_state.random)); // Other nodes can serve at once.
     } else if (reason == RefusalReason::ServersFull) {
         delay += std::chrono::ceil<std::chrono::milliseconds>(m_state.backends.remainingDeclineTime(m_serviceId, m_state.clock.now()));
     }
--- a/src/coordination/front_refusal.cpp
+++ b/src/coordination/front_refusal.cpp
@@ -10,7 +10,7 @@
 {
 
 /// In the order of RefusalReason.
-constexpr std::array<RefusalResponse, 7> Responses = {{
+constexpr std::array<RefusalResponse, 8> Responses = {{
     {503, "no_configuration", true},
     {404, "no_route", false},
     {503, "no_server", true},
@@ -18,8 +18,9 @@
     {503, "content_crashes_servers", true},
     {503, "servers_full", true},
     {503, "overloaded", true},
+    {503, "node_stopping", true},
 }};
-static_assert(static_cast<std::size_t>(RefusalReason::Overloaded) + 1 == Responses.size());
+static_assert(static_cast<std::size_t>(RefusalReason::NodeStopping) + 1 == Responses.size());
 
 } // namespace
 
--- a/src/coordination/shutdown_schedule.cpp
+++ b/src/coordination/shutdown_schedule.cpp
@@ -10,7 +10,10 @@
 
 using namespace std::chrono_literals;
 
-/// Shortest time for which a node keeps serving.
+/// Callers that use the node after this time have had the time to receive other addresses.
+constexpr Duration AnnouncementTime = 2800ms;
+
+/// How long a node accepts connections.
 constexpr Duration ServiceTime = 3500ms;
 
 /// The process exits this much before the end of the grace period.
@@ -20,6 +23,7 @@
 constexpr Duration LastAnswersMargin = 400ms;
 
 // In a short grace period, each step takes at most this share of it.
+constexpr int AnnouncementShare = 3;
 constexpr int ServiceShare = 2;
 constexpr int ExitShare = 20;
 constexpr int LastAnswersShare = 12;
@@ -47,4 +51,15 @@
     return m_startedAt + m_gracePeriod - std::min(ExitMargin, m_gracePeriod / ExitShare);
 }
 
+bool ShutdownSchedule::admits(TimePoint now, TimePoint deadline, std::optional<Duration> longDuration) const noexcept
+{
+    if (deadline <= answersDueBy()) {
+        return true;
+    }
+    if (now >= m_startedAt + std::min(AnnouncementTime, m_gracePeriod / AnnouncementShare)) {
+        return false;
+    }
+    return now + longDuration.value_or(Duration::zero()) <= answersDueBy();
+}
+
 } // namespace apricotarch
