Answer the requests that are still arriving before the process ends

What callers saw: a request whose body was still arriving when a planned stop ended got neither an answer nor a refusal, and idle connections were left to the end of the process, which resets them if a request has just arrived. Cause: the end of a shutdown waited for requests that were being forwarded only; connections had no part in it. Ruled out: answers that wait to be sent were cut. They were not; a test guards it now. Change: after the service time the node accepts no connections and closes those without a request; the process ends when the last connection has been closed or the grace period is over. Requests that have not arrived in full when the last answers are due are refused. Evidence: planned_stop/the_end_of_the_process/left_a_request_that_was_still_arriving_without_an_answer and comes_when_idle_connections_are_closed_and_requests_in_progress_answered fail with the previous end condition.

--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -122,6 +122,7 @@
     std::size_t bufferedBodyBytes = 0; ///< Total size of the buffered request bodies.
     CallerConnectionList callers; ///< Connections of callers that are open.
     std::optional<ShutdownSchedule> shutdown; ///< Set when the shutdown begins.
+    bool closesIdleCallers = false; ///< During a shutdown: connections are closed as soon as no request is in progress on them.
     RecentDurations routeDurations; ///< Of the requests that servers have answered.
 };
 
--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -56,7 +56,8 @@
             if (m_parser->isComplete()) {
                 co_return ReadResult::Request;
             }
-            if (m_caller.isClosed()) {
+            const bool mayBeClosed = m_state.closesIdleCallers && !m_firstByteAt && m_caller.unreadBytes() == 0;
+            if (m_caller.isClosed() || mayBeClosed) {
                 co_return ReadResult::Ended;
             }
             // A request that has arrived at an idle connection is served, also if the socket has not been read yet.
@@ -115,7 +116,8 @@
         if (!m_firstByteAt) {
             return m_lastByteAt + limits.idleTimeout;
         }
-        return (m_parser->isHeadComplete() ? m_lastByteAt : *m_firstByteAt) + limits.headerTimeout;
+        const TimePoint limit = (m_parser->isHeadComplete() ? m_lastByteAt : *m_firstByteAt) + limits.headerTimeout;
+        return m_state.shutdown ? std::min(limit, m_state.shutdown->answersDueBy()) : limit;
     }
 
     ReadResult handleTimeout()
@@ -123,7 +125,8 @@
         if (!m_firstByteAt) {
             return ReadResult::Ended;
         }
-        sendRefusal(408, "request_too_slow");
+        const bool isStopping = m_state.shutdown && m_state.clock.now() >= m_state.shutdown->answersDueBy();
+        isStopping ? sendRefusal(503, "node_stopping", "Retry-After: 0.1\r\n") : sendRefusal(408, "request_too_slow");
         return ReadResult::Refused;
     }
 
@@ -136,20 +139,21 @@
         sendRefusal(400, "malformed_request");
     }
 
-    void sendRefusal(int status, const char *reason)
+    void sendRefusal(int status, const char *reason, const char *headers = "")
     {
         m_state.metrics.increment(CounterFamily::Refusals, reason);
         LogEvent("request.refused").field("status", status).field("reason", reason).field("caller", m_caller.peer());
-        sendErrorResponse(m_caller, status, reason);
+        sendErrorResponse(m_caller, status, reason, headers);
     }
 
 public:
     /// Queues an error response to a request that is not forwarded. The connection must be closed afterwards.
-    static void sendErrorResponse(CallerConnection &caller, int status, const char *reason)
+    /// @param headers further header lines, each with its line end
+    static void sendErrorResponse(CallerConnection &caller, int status, const char *reason, const char *headers = "")
     {
         const std::string body = std::string("{\"error\":\"") + reason + "\"}";
         caller.send("HTTP/1.1 " + std::to_string(status) + ' ' + reason + "\r\nContent-Type: application/json\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body);
+            + std::to_string(body.size()) + "\r\n" + headers + "Connection: close\r\n\r\n" + body);
     }
 
 private:
--- a/src/app/front.cpp
+++ b/src/app/front.cpp
@@ -13,11 +13,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "apricotarch/app/caller_drain.h"
 #include "apricotarch/app/caller_session.h"
 #include "apricotarch/app/cli.h"
 #include "apricotarch/app/fleet_synchronizer.h"
 #include "apricotarch/app/front_state.h"
-#include "apricotarch/app/incomplete_close.h"
 #include "apricotarch/app/stage_controller.h"
 #include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
@@ -49,8 +49,6 @@
 /// Longest time that log lines are buffered.
 constexpr Duration LogFlushInterval = 200ms;
 
-constexpr Duration ShutdownPollInterval = 50ms;
-
 /// Pause after a failed accept, for example when the process has no free file descriptors.
 constexpr Duration AcceptRetryPause = 50ms;
 
@@ -291,42 +289,21 @@
 
     asio::awaitable<void> shutDown()
     {
-        const ShutdownSchedule &schedule = m_state.shutdown.emplace(m_clock.now(), m_state.settings.gracePeriod);
-        LogEvent("node.stopping").field("requests", m_state.activeRequests);
+        m_state.shutdown.emplace(m_clock.now(), m_state.settings.gracePeriod);
+        LogEvent("node.stopping")
+            .field("requests", m_state.activeRequests)
+            .field("connections", m_state.callers.size())
+            .field("grace_ms", toMilliseconds(m_state.settings.gracePeriod));
         m_fleetSynchronizer.announceShutdown();
-        while (m_clock.now() < schedule.exitsBy()) {
-            if (m_clock.now() >= schedule.servesUntil() && m_state.activeRequests == 0) {
-                break;
-            }
-            co_await m_clock.sleep(ShutdownPollInterval);
-        }
-        boost::system::error_code ignored; // The process exits in any case.
-        m_acceptor.close(ignored);
-        reportConnectionsAtExit();
+        const auto stopAccepting = [this] {
+            boost::system::error_code ignored; // The process exits in any case.
+            m_acceptor.close(ignored);
+        };
+        co_await drainCallers(m_state, stopAccepting);
         flushLogs();
         m_eventLoops.coordinationLoop().stop();
     }
 
-    /// Logs the connections that the end of the process cuts.
-    void reportConnectionsAtExit()
-    {
-        std::size_t cut = 0;
-        std::size_t unsentBytes = 0;
-        for (const CallerConnection &caller : m_state.callers) {
-            if (caller.isBusy() && !caller.isClosed()) {
-                ++cut;
-                unsentBytes += caller.pending();
-                reportIncompleteClose(m_state, caller, {.reason = "process_ends", .discardedInputBytes = caller.unreadBytes()});
-            }
-        }
-        LogEvent("node.stopped")
-            .field("requests", m_state.activeRequests)
-            .field("connections", m_state.callers.size())
-            .field("cut", cut)
-            .field("unsent_bytes", unsentBytes)
-            .field("ms", toMilliseconds(m_clock.now() - m_state.shutdown->startedAt()));
-    }
-
     std::string m_settingsFile;
     std::string m_settingsText;
     SystemClock m_clock;
--- a/tests/fakes/test_node.h
+++ b/tests/fakes/test_node.h
@@ -171,9 +171,15 @@
     tcp::socket connectCaller()
     {
         tcp::socket caller(loop);
+        connectCaller(caller);
+        return caller;
+    }
+
+    /// Connects a caller's socket to the node.
+    void connectCaller(tcp::socket &caller)
+    {
         caller.connect(m_acceptor.local_endpoint());
         boost::asio::co_spawn(loop, serveCaller(state, m_acceptor.accept()), boost::asio::detached);
-        return caller;
     }
 
     boost::asio::io_context loop;
--- a/tests/src/unit-planned_stop.cpp
+++ b/tests/src/unit-planned_stop.cpp
@@ -1,5 +1,7 @@
+#include <boost/asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "apricotarch/app/caller_drain.h"
 #include "fakes/test_node.h"
 
 using namespace apricotarch;
@@ -23,6 +25,28 @@
         + "\r\n";
 }
 
+/// Ends the connections of a node's callers, as a planned stop does.
+class Drain
+{
+public:
+    explicit Drain(TestNode &node)
+    {
+        const auto drain = [](TestNode &drained, bool &ended) -> boost::asio::awaitable<void> {
+            co_await drainCallers(drained.state, [] {});
+            ended = true;
+        };
+        boost::asio::co_spawn(node.loop, drain(node, m_ended), boost::asio::detached);
+    }
+
+    [[nodiscard]] bool hasEnded() const
+    {
+        return m_ended;
+    }
+
+private:
+    bool m_ended = false;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(planned_stop)
@@ -73,4 +97,73 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_end_of_the_process)
+
+BOOST_AUTO_TEST_CASE(waits_for_a_caller_that_reads_slowly)
+{
+    TestNode node;
+    const std::string week(3'500'000, 'w');
+    node.addServer("a", [&week](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{fullResponse(head, week)};
+    });
+    tcp::socket caller(node.loop, tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    node.connectCaller(caller);
+    boost::asio::write(caller, boost::asio::buffer(request("GET /view/1", 5000ms)));
+    node.runFor(300ms);
+    BOOST_REQUIRE(node.state.callers.front().pending() > 0);
+    beginShutdown(node, 4s);
+    const Drain drain(node);
+    node.runFor(300ms);
+    BOOST_TEST(!drain.hasEnded());
+    std::string answer;
+    bool isRead = false;
+    boost::asio::async_read(caller, boost::asio::dynamic_buffer(answer), [&isRead](const boost::system::error_code &code, std::size_t) {
+        isRead = code == boost::asio::error::eof;
+    });
+    node.runFor(1500ms);
+    BOOST_TEST(isRead);
+    BOOST_TEST(answer.ends_with(week));
+    BOOST_TEST(drain.hasEnded());
+}
+
+BOOST_AUTO_TEST_CASE(left_a_request_that_was_still_arriving_without_an_answer)
+{
+    TestNode node;
+    CallerProbe caller(node, request("POST /book/1", 5000ms, "Content-Length: 100\r\n") + "visit");
+    node.runFor(100ms);
+    const ShutdownSchedule example(TimePoint(), GracePeriod);
+    beginShutdown(node, example.answersDueBy() - TimePoint() - 300ms);
+    const Drain drain(node);
+    node.runFor(200ms);
+    BOOST_TEST(!drain.hasEnded());
+    node.runFor(300ms);
+    BOOST_TEST(caller.answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(caller.answer.find("Retry-After") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(comes_when_idle_connections_are_closed_and_requests_in_progress_answered)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{"", false, fullResponse(head, "booked"), 400ms};
+    });
+    CallerProbe idle(node, "GET /none/1 HTTP/1.1\r\nHost: desk\r\n\r\n");
+    CallerProbe unused(node, "");
+    CallerProbe booking(node, request("POST /book/1", 1500ms));
+    node.runFor(100ms);
+    beginShutdown(node, 4s);
+    const Drain drain(node);
+    node.runFor(100ms);
+    BOOST_TEST(idle.isClosed());
+    BOOST_TEST(unused.isClosed());
+    BOOST_TEST(!booking.isClosed());
+    BOOST_TEST(!drain.hasEnded());
+    node.runFor(1700ms);
+    BOOST_TEST(booking.answer.ends_with("booked"));
+    BOOST_TEST(drain.hasEnded());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
