Reproduce the cuts around a planned stop with real processes

The scenario planned-stop sends SIGTERM, SIGHUP and changes of the configuration, and judges LOST, TWICE, REFUSED, MIXED, ORDER, UNASKED, the time of refusals and the exit status by what callers and replicas saw.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 mkdir -p "$build/lint"
 sed -E 's/ -Winvalid-pch//; s/ -include [^ ]*cmake_pch\.hxx//; s/ -Wno-mismatched-new-delete//; s/ -Wno-maybe-uninitialized//' \
     "$build/compile_commands.json" >"$build/lint/compile_commands.json"
-git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'bench/*.cpp' |
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'soak/*.cpp' |
     xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build/lint" 2>"$build/lint/errors" >"$build/lint/findings" || {
     grep -E 'warning:|error:' "$build/lint/findings" | sort -u
     grep -E 'error:' "$build/lint/errors" | sort -u
--- /dev/null
+++ b/soak/replica.h
@@ -0,0 +1,86 @@
+#pragma once
+
+/**
+ * @file
+ * Stand-in for a replica: it registers in the store, renews its entry, serves one request at a time on a connection and echoes the id of
+ * the request. After a crash it is back as a new process with another id at its address.
+ */
+
+#include <thread>
+
+#include "evidence.h"
+#include "store.h"
+
+namespace apricotarch::soak
+{
+
+/// What a replica does wrong for a time.
+enum class Trouble {
+    None,
+    Pause, ///< It is silent and goes on afterwards.
+    Decline, ///< It runs no requests and says so.
+    CutHead, ///< It breaks off in the head of each answer.
+    CutBody, ///< It breaks off in the body of each answer, after an event of a stream.
+    CutEvent ///< It breaks off in the middle of an event.
+};
+
+class Replica
+{
+public:
+    Replica(Store &store, Evidence &evidence, std::string name, std::string service, const std::string &ip);
+    Replica(const Replica &) = delete;
+    Replica &operator=(const Replica &) = delete;
+    ~Replica();
+
+    bool start();
+
+    /// Ends the process: its connections are reset, and it is not reachable until it is back as a new process.
+    void crash(milliseconds downTime);
+
+    /// Reports that it leaves, serves on for the time of draining, and is back as a new process after the same time again.
+    void leave();
+
+    /// Begins a trouble, which ends by itself.
+    void setTrouble(Trouble trouble, milliseconds duration);
+
+    [[nodiscard]] const std::string &name() const
+    {
+        return m_name;
+    }
+
+private:
+    [[nodiscard]] std::string id() const;
+    void begin();
+    void sendHeartbeats();
+    void writeEntry();
+    void removeEntry();
+    bool serve(Connection &connection, const Message &request);
+    bool answer(Connection &connection, const Message &request, const std::string &seal);
+    bool streamEvents(Connection &connection, const Work &work, std::size_t from, const Headers &headers);
+    bool breakOff(Connection &connection);
+    void waitWhilePaused() const;
+    [[nodiscard]] Trouble trouble() const;
+
+    Store &m_store;
+    Evidence &m_evidence;
+    const std::string m_name;
+    const std::string m_service;
+    mutable std::mutex m_mutex;
+    int m_process = 0;
+    bool m_up = false;
+    bool m_leaving = false;
+    std::int64_t m_sequence = 0;
+    std::int64_t m_born = 0; ///< Unix time in milliseconds.
+    std::optional<std::string> m_entry; ///< Key of the entry in the store.
+    TimePoint m_lastHeartbeat;
+    TimePoint m_nextHeartbeat;
+    TimePoint m_backAt;
+    TimePoint m_leavesAt;
+    Trouble m_trouble = Trouble::None;
+    TimePoint m_troubleUntil;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_heartbeats;
+    Server m_server;
+};
+
+} // namespace apricotarch::soak
