Keep no handler of serve's wait beyond the wait

Each stop of serve with SIGTERM ended with status 139, before the shutdown had begun: running requests were cut, the lease was not released.

Cause: waitForShutdown() held the signal set, the timer and the polling function on its stack. Its end cancelled the timer, and the loop, which runs again for the shutdown, called the timer's handler, which used all three. Once the signal set was gone, a second SIGTERM would also have ended the process beside its requests.

ShutdownWait lives as long as serve(). The poll is a coroutine that has ended when run() returns, and the signal's handler shares the only value that it writes.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -123,6 +123,12 @@
 check "the drain command is accepted" "$build/apricotarch" drain --node 127.0.0.1:17013
 node_exited() { ! kill -0 "${pids[node-3]}"; }
 check "the node exits by itself" until_true 20 node_exited
+"$build/apricotarch" serve --settings examples/nodes/node-3.yaml >"$work/node-3-again.log" 2>&1 &
+pids[node-3]=$!
+check "the node is ready again" until_true 10 ready 17013
+kill -TERM "${pids[node-3]}"
+wait "${pids[node-3]}"
+check "the node exits with status 0 on SIGTERM" test $? = 0
 check "the remaining node still answers" test "$(curl -s -H "$key" -H 'Idempotency-Key: visit-2' -d "$visit" -o /dev/null -w '%{http_code}' http://127.0.0.1:17012/v1/services/dresser-visits/visits)" = 201
 
 [ $failed = 0 ] && echo "demo: all checks passed" || echo "demo: checks failed"
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -7,13 +7,11 @@
 #include <optional>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "apricotarch/app/cli.h"
 #include "apricotarch/app/http_api.h"
+#include "apricotarch/app/shutdown_wait.h"
 #include "apricotarch/base/log.h"
 
 namespace apricotarch
@@ -22,8 +20,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds ShutdownPollInterval{100};
-
 std::optional<Settings> loadSettings(const std::string &file)
 {
     std::ifstream in(file);
@@ -55,25 +51,6 @@
     return limits;
 }
 
-/// Runs the event loop until a signal or an operator requests a shutdown.
-void waitForShutdown(asio::io_context &loop, const Node &node)
-{
-    asio::signal_set signals(loop, SIGTERM, SIGINT);
-    asio::steady_timer timer(loop);
-    signals.async_wait([&](const boost::system::error_code &, int) {
-        loop.stop();
-    });
-    std::function<void()> poll = [&] {
-        timer.expires_after(ShutdownPollInterval);
-        timer.async_wait([&](const boost::system::error_code &) {
-            node.shutdownRequested() ? loop.stop() : poll();
-        });
-    };
-    poll();
-    loop.run();
-    loop.restart();
-}
-
 void shutDown(asio::io_context &loop, Node &node, HttpServer &server)
 {
     bool finished = false;
@@ -100,7 +77,11 @@
     if (!settings) {
         return InvalidInput;
     }
+    asio::io_context loop;
     Node node(*settings, makeIncarnation());
+    ShutdownWait wait(loop, node.clock(), [&node] {
+        return node.shutdownRequested();
+    });
     HttpApi api(node);
     HttpServer server(node.eventLoops(), serverLimits(*settings), [&api](const HttpRequest &request, HttpResponder &responder) {
         return api.handle(request, responder);
@@ -111,8 +92,7 @@
         std::cerr << formatError(started.error()) << '\n';
         return Failed;
     }
-    asio::io_context loop;
-    waitForShutdown(loop, node);
+    wait.run();
     shutDown(loop, node, server);
     node.stop();
     return Success;
