Answer or refuse every request that serve holds when it stops

What callers of serve saw around a stop: a request whose body was still arriving, a refusal or an operator's request in progress, and an answer on its way to a slow reader ended with a closed connection and no whole answer; callers on kept connections were not told to leave, and the end cut what they sent last; a refusal as node_draining had no Retry-After. Requests that have been admitted were waited for already, up to shutdown_bound_s.

Cause: the stop asked admission only for the number of running requests. The server knew of reads and writes, and nobody asked it. The class: work is counted from the moment it is understood instead of the moment it arrives.

HttpServer::announceClose() announces the close in each answer of a shutdown. HttpServer::finish() refuses requests that are still being read as not run, with Retry-After, accepts what the system has accepted for us so that it is refused too, closes connections without a request, and waits for the other answers. Reads are cancelled through a list of the reads in progress; a cancellation between two parts of a read was lost, also that of a slow sender's time limit, and is now repeated. After a last answer the input is discarded for up to a second, so that a reset does not destroy the answer.

Ruled out: requests admitted during a stop. Admission refuses them from the first moment, and the node waits a second after that.

--- a/include/apricotarch/transport/http_server.h
+++ b/include/apricotarch/transport/http_server.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "apricotarch/base/clock.h"
 #include "apricotarch/base/endpoint.h"
 #include "apricotarch/base/error.h"
 #include "apricotarch/transport/event_loop_pool.h"
@@ -87,8 +88,17 @@
      */
     [[nodiscard]] Result<void> listen(const Endpoint &endpoint);
 
-    /// Stops accepting connections; each open connection is closed after its current answer.
-    void stopAccepting();
+    /// From now on each answer announces the close of its connection. Thread-safe.
+    void announceClose();
+
+    /**
+     * Ends the server: refuses requests that are still being read as not run, also those on connections that have not been accepted yet,
+     * closes connections without a request, and waits for the answers of the others. Must run on the pool's coordination loop.
+     * @param clock for the wait
+     * @param limit longest wait
+     * @return number of connections that are still open
+     */
+    [[nodiscard]] boost::asio::awaitable<std::size_t> finish(Clock &clock, Duration limit);
 
     /// Number of requests whose handler is running.
     [[nodiscard]] std::size_t activeRequests() const noexcept;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -126,7 +126,12 @@
 "$build/apricotarch" serve --settings examples/nodes/node-3.yaml >"$work/node-3-again.log" 2>&1 &
 pids[node-3]=$!
 check "the node is ready again" until_true 10 ready 17013
+late_request_is_refused() {
+    curl -si -H "$key" -H 'Idempotency-Key: visit-3' -d "$visit" http://127.0.0.1:17013/v1/services/dresser-visits/visits >"$work/late"
+    grep -q '"not_run":true' "$work/late" && grep -q '^Retry-After: 1' "$work/late" && grep -q '^Connection: close' "$work/late"
+}
 kill -TERM "${pids[node-3]}"
+check "a request that comes during the shutdown is refused as not run" until_true 1 late_request_is_refused
 wait "${pids[node-3]}"
 check "the node exits with status 0 on SIGTERM" test $? = 0
 check "the remaining node still answers" test "$(curl -s -H "$key" -H 'Idempotency-Key: visit-2' -d "$visit" -o /dev/null -w '%{http_code}' http://127.0.0.1:17012/v1/services/dresser-visits/visits)" = 201
--- a/src/app/request_admission.cpp
+++ b/src/app/request_admission.cpp
@@ -61,7 +61,9 @@
             makeRefusal(admissibility.reason, "This node cannot verify that its configuration is in force. Try another node.", Step));
     }
     if (node.isDraining()) {
-        return tl::unexpected(makeRefusal("node_draining", "This node is shutting down. Request GET /v1/entry from another node.", Step));
+        Problem problem = makeRefusal("node_draining", "This node is shutting down. Request GET /v1/entry from another node.", Step);
+        problem.retryAfter = std::chrono::seconds(1);
+        return tl::unexpected(problem);
     }
     const std::string limit = node.admission().tryAdmit(caller->id);
     if (!limit.empty()) {
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -20,6 +20,9 @@
 namespace
 {
 
+/// Longest wait for answers that are being sent and for operators' requests, after the running requests have ended.
+constexpr std::chrono::seconds FinishTimeout{3};
+
 std::optional<Settings> loadSettings(const std::string &file)
 {
     std::ifstream in(file);
@@ -55,8 +58,10 @@
 {
     bool finished = false;
     const auto work = [&]() -> asio::awaitable<void> {
+        server.announceClose();
         co_await node.shutDown();
-        server.stopAccepting();
+        const std::size_t left = co_await server.finish(node.clock(), FinishTimeout);
+        LogEvent("http.finished", left > 0 ? LogEvent::Level::Warning : LogEvent::Level::Info).field("cut_connections", left);
         finished = true;
     };
     asio::co_spawn(node.eventLoops().coordinationLoop(), work(), [&loop](const std::exception_ptr &) {
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "apricotarch/transport/http_server.h"
 
+#include <array>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +14,8 @@
 #include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/protocol/problem.h"
+#include "apricotarch/transport/request_read.h"
+#include "beast_responder.h"
 
 namespace apricotarch
 {
@@ -27,22 +30,12 @@
 
 constexpr auto UseAwaitable = asio::use_awaitable;
 
-Result<void> toResult(const beast::error_code &code, const char *step, const std::string &peer)
-{
-    if (!code) {
-        return {};
-    }
-    const ErrorId id = code == beast::error::timeout ? ErrorId::TimedOut : ErrorId::ConnectionLost;
-    return fail(id, step, peer, code.message(), Delivery::MaybeSent);
-}
+/// How long input is discarded after the last answer, so that a reset of the connection does not destroy the answer.
+constexpr std::chrono::seconds LingerTimeout{1};
+constexpr std::size_t DiscardBufferBytes = 4096;
 
-template<typename Message>
-void setHeaders(Message &message, const HttpHeaders &headers)
-{
-    for (const HttpHeader &header : headers.fields()) {
-        message.set(header.name, header.value);
-    }
-}
+/// Pause between two checks for open connections at the end.
+constexpr std::chrono::milliseconds FinishPollInterval{20};
 
 HttpRequest toRequest(http::request<http::string_body> message, std::string peer)
 {
@@ -60,134 +53,6 @@
     return request;
 }
 
-/// Cancels a read that exceeds its timeout and leaves the connection open for an error response. The stream's own timeout would close it.
-class ReadDeadline : public std::enable_shared_from_this<ReadDeadline>
-{
-public:
-    ReadDeadline(beast::tcp_stream &stream, std::chrono::milliseconds timeout)
-        : m_stream(stream)
-        , m_timer(stream.get_executor(), timeout)
-    {
-    }
-
-    void start()
-    {
-        m_stream.expires_never();
-        m_timer.async_wait([self = shared_from_this()](const beast::error_code &code) {
-            if (!code && !self->m_ended) {
-                self->m_expired = true;
-                self->m_stream.cancel();
-            }
-        });
-    }
-
-    /// Ends the deadline after the read has completed. @param code result of the read, replaced by a timeout if the deadline cancelled it
-    void end(beast::error_code &code)
-    {
-        m_ended = true;
-        m_timer.cancel();
-        if (m_expired && code) {
-            code = beast::error::timeout;
-        }
-    }
-
-private:
-    beast::tcp_stream &m_stream;
-    asio::steady_timer m_timer;
-    bool m_ended = false;
-    bool m_expired = false;
-};
-
-/// Answers one request on a Beast stream.
-class BeastResponder final : public HttpResponder
-{
-public:
-    BeastResponder(beast::tcp_stream &stream, std::string peer, std::chrono::milliseconds writeTimeout, bool keepAlive)
-        : m_stream(stream)
-        , m_peer(std::move(peer))
-        , m_writeTimeout(writeTimeout)
-        , m_keepAlive(keepAlive)
-    {
-    }
-
-    asio::awaitable<Result<void>> respond(HttpResponse response) override
-    {
-        http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
-        setHeaders(message, response.headers);
-        message.keep_alive(m_keepAlive);
-        message.body() = std::move(response.body);
-        message.prepare_payload();
-        m_started = true;
-        m_stream.expires_after(m_writeTimeout);
-        beast::error_code code;
-        co_await http::async_write(m_stream, message, asio::redirect_error(UseAwaitable, code));
-        co_return recordWriteResult(code, "http.respond");
-    }
-
-    asio::awaitable<Result<void>> beginStream(int status, HttpHeaders headers) override
-    {
-        http::response<http::empty_body> message(static_cast<http::status>(status), 11);
-        setHeaders(message, headers);
-        message.keep_alive(m_keepAlive);
-        message.chunked(true);
-        m_started = true;
-        http::response_serializer<http::empty_body> serializer(message);
-        m_stream.expires_after(m_writeTimeout);
-        beast::error_code code;
-        co_await http::async_write_header(m_stream, serializer, asio::redirect_error(UseAwaitable, code));
-        co_return recordWriteResult(code, "http.begin_stream");
-    }
-
-    asio::awaitable<Result<void>> write(std::string_view chunk) override
-    {
-        m_stream.expires_after(m_writeTimeout);
-        beast::error_code code;
-        const asio::const_buffer buffer(chunk.data(), chunk.size());
-        co_await asio::async_write(m_stream, http::make_chunk(buffer), asio::redirect_error(UseAwaitable, code));
-        co_return recordWriteResult(code, "http.write");
-    }
-
-    asio::awaitable<Result<void>> endStream() override
-    {
-        m_stream.expires_after(m_writeTimeout);
-        beast::error_code code;
-        co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(UseAwaitable, code));
-        co_return recordWriteResult(code, "http.end_stream");
-    }
-
-    void abort() noexcept override
-    {
-        m_keepAlive = false;
-        beast::error_code ignored;
-        m_stream.socket().close(ignored);
-    }
-
-    [[nodiscard]] bool keepAlive() const noexcept
-    {
-        return m_keepAlive && m_started;
-    }
-
-    [[nodiscard]] bool started() const noexcept
-    {
-        return m_started;
-    }
-
-private:
-    Result<void> recordWriteResult(const beast::error_code &code, const char *step)
-    {
-        if (code) {
-            m_keepAlive = false;
-        }
-        return toResult(code, step, m_peer);
-    }
-
-    beast::tcp_stream &m_stream;
-    std::string m_peer;
-    std::chrono::milliseconds m_writeTimeout;
-    bool m_keepAlive;
-    bool m_started = false;
-};
-
 /// Returns the problem that answers a request which could not be read. Status 0 means that no answer is to be sent, because the connection
 /// has ended.
 Problem problemForReadError(const beast::error_code &code)
@@ -210,9 +75,25 @@
     return problem;
 }
 
+/// Returns the problem that answers a request which is still being read when the process ends.
+Problem problemOfShutdown()
+{
+    return {.status = 503,
+        .reason = "node_draining",
+        .detail = "This node has shut down before it had read the whole request. Request GET /v1/entry from another node.",
+        .notRun = true,
+        .step = "http.read",
+        .peer = "",
+        .retryAfter = std::chrono::seconds(1)};
+}
+
 HttpResponse toResponse(const Problem &problem)
 {
-    return {problem.status, {{"Content-Type", std::string(ProblemMediaType)}}, encodeProblem(problem)};
+    HttpResponse response{problem.status, {{"Content-Type", std::string(ProblemMediaType)}}, encodeProblem(problem)};
+    if (problem.retryAfter) {
+        response.headers.add("Retry-After", std::to_string(problem.retryAfter->count()));
+    }
+    return response;
 }
 
 } // namespace
@@ -227,24 +108,38 @@
     {
     }
 
+    /// @return false if the server has been in this phase or a later one
+    bool raisePhase(ServerPhase next) noexcept;
     asio::awaitable<void> acceptConnections();
-    asio::awaitable<void> serveConnection(tcp::socket socket);
+    void spawnConnection(tcp::socket socket);
+    asio::awaitable<void> serveConnection(tcp::socket socket, bool full);
     asio::awaitable<bool> serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &peer);
     asio::awaitable<void> refuse(beast::tcp_stream &stream, const std::string &peer, const Problem &problem) const;
+    asio::awaitable<void> discardInput(beast::tcp_stream &stream) const;
+    void stopAccepting();
 
     EventLoopPool &eventLoops;
     HttpServerLimits limits;
     HttpHandler handler;
     tcp::acceptor acceptor;
-    std::atomic<bool> stopping = false;
+    const std::shared_ptr<RequestReads> reads = std::make_shared<RequestReads>();
+    std::atomic<ServerPhase> phase = ServerPhase::Serving;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> active = 0;
 };
 
+bool HttpServer::Impl::raisePhase(ServerPhase next) noexcept
+{
+    ServerPhase current = phase;
+    while (current < next && !phase.compare_exchange_weak(current, next)) {
+    }
+    return current < next;
+}
+
 asio::awaitable<void> HttpServer::Impl::acceptConnections()
 {
     const auto self = shared_from_this();
-    while (!stopping) {
+    while (phase != ServerPhase::Finishing) {
         tcp::socket socket(eventLoops.nextLoop());
         beast::error_code code;
         co_await acceptor.async_accept(socket, asio::redirect_error(UseAwaitable, code));
@@ -254,37 +149,74 @@
         if (code) {
             continue;
         }
-        const asio::any_io_executor executor = socket.get_executor();
-        asio::co_spawn(executor, serveConnection(std::move(socket)), LogFailure("serve_http"));
+        spawnConnection(std::move(socket));
+    }
+}
+
+void HttpServer::Impl::spawnConnection(tcp::socket socket)
+{
+    const asio::any_io_executor executor = socket.get_executor();
+    const bool full = connections.fetch_add(1) >= limits.connections;
+    asio::co_spawn(executor, serveConnection(std::move(socket), full), LogFailure("serve_http"));
+}
+
+void HttpServer::Impl::stopAccepting()
+{
+    beast::error_code code;
+    acceptor.non_blocking(true, code);
+    // Connections that the system has accepted would be reset, also if their requests have arrived.
+    while (!code) {
+        tcp::socket socket(eventLoops.nextLoop());
+        acceptor.accept(socket, code);
+        if (!code) {
+            spawnConnection(std::move(socket));
+        }
     }
+    acceptor.close(code);
 }
 
 asio::awaitable<void> HttpServer::Impl::refuse(beast::tcp_stream &stream, const std::string &peer, const Problem &problem) const
 {
-    BeastResponder responder(stream, peer, limits.writeTimeout, false);
+    BeastResponder responder(stream, peer, limits.writeTimeout, false, phase);
     (void)co_await responder.respond(toResponse(problem));
 }
 
+asio::awaitable<void> HttpServer::Impl::discardInput(beast::tcp_stream &stream) const
+{
+    beast::error_code code;
+    stream.socket().shutdown(tcp::socket::shutdown_send, code);
+    std::array<char, DiscardBufferBytes> discarded{};
+    stream.expires_after(LingerTimeout);
+    while (!code) {
+        co_await stream.async_read_some(asio::buffer(discarded), asio::redirect_error(UseAwaitable, code));
+    }
+}
+
 asio::awaitable<bool> HttpServer::Impl::serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &peer)
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
-    const auto deadline = std::make_shared<ReadDeadline>(stream, limits.requestTimeout);
-    deadline->start();
+    const auto read = std::make_shared<RequestRead>(reads, stream, limits.requestTimeout);
+    read->start();
     beast::error_code code;
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(UseAwaitable, code));
-    deadline->end(code);
+    read->end(code);
     if (code) {
-        const Problem problem = problemForReadError(code);
-        if (problem.status != 0 && (parser.got_some() || buffer.size() > 0)) {
+        const bool cancelled = code == asio::error::operation_aborted && reads->areCancelled();
+        const Problem problem = cancelled ? problemOfShutdown() : problemForReadError(code);
+        beast::error_code ignored;
+        const bool hasArrived = parser.got_some() || buffer.size() > 0 || stream.socket().available(ignored) > 0;
+        if (problem.status != 0 && hasArrived) {
+            LogEvent("http.refused_unread").field("peer", peer).field("reason", problem.reason);
             co_await refuse(stream, peer, problem);
+            co_await discardInput(stream);
         }
         co_return false;
     }
-    const bool keepAlive = parser.get().keep_alive() && !stopping;
+    const bool keepAlive = parser.get().keep_alive();
     const HttpRequest request = toRequest(parser.release(), peer);
-    BeastResponder responder(stream, peer, limits.writeTimeout, keepAlive);
+    BeastResponder responder(stream, peer, limits.writeTimeout, keepAlive, phase);
     ++active;
     stream.expires_never();
     try {
@@ -296,10 +228,13 @@
         responder.abort();
     }
     --active;
-    co_return responder.keepAlive() && !stopping;
+    if (responder.closeAnnounced()) {
+        co_await discardInput(stream);
+    }
+    co_return responder.keepAlive();
 }
 
-asio::awaitable<void> HttpServer::Impl::serveConnection(tcp::socket socket)
+asio::awaitable<void> HttpServer::Impl::serveConnection(tcp::socket socket, bool full)
 {
     const auto self = shared_from_this();
     beast::error_code code;
@@ -307,7 +242,7 @@
     const tcp::endpoint remote = socket.remote_endpoint(code);
     const std::string peer = remote.address().to_string() + ':' + std::to_string(remote.port());
     beast::tcp_stream stream(std::move(socket));
-    if (connections.fetch_add(1) >= limits.connections) {
+    if (full) {
         Problem problem{.status = 503,
             .reason = "too_many_connections",
             .detail = "",
@@ -335,7 +270,13 @@
 
 HttpServer::~HttpServer()
 {
-    stopAccepting();
+    if (!m_impl->raisePhase(ServerPhase::Finishing)) {
+        return;
+    }
+    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
+        beast::error_code ignored;
+        impl->acceptor.close(ignored);
+    });
 }
 
 Result<void> HttpServer::listen(const Endpoint &endpoint)
@@ -370,15 +311,21 @@
     return {};
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::announceClose()
 {
-    if (m_impl->stopping.exchange(true)) {
-        return;
+    m_impl->raisePhase(ServerPhase::AnnouncingClose);
+}
+
+asio::awaitable<std::size_t> HttpServer::finish(Clock &clock, Duration limit)
+{
+    const TimePoint end = clock.now() + limit;
+    m_impl->raisePhase(ServerPhase::Finishing);
+    m_impl->stopAccepting();
+    m_impl->reads->cancelAll();
+    while (m_impl->connections > 0 && clock.now() < end) {
+        co_await clock.sleep(FinishPollInterval);
     }
-    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] {
-        beast::error_code ignored;
-        impl->acceptor.close(ignored);
-    });
+    co_return m_impl->connections;
 }
 
 std::size_t HttpServer::activeRequests() const noexcept
