Do not end streams shortly before their time limit

Cause: the margin that leaves time for a final answer was taken off streams too, which get none. Class: a bound of one case is applied to another. Change: a stream that has begun goes on until its time limit is over; other requests get their answer 15 ms before, as until now. Evidence: request_deadline/a_stream_that_goes_on_at_its_time_limit/was_cut_shortly_before failed before.

--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -94,7 +94,8 @@
         refuse(RefusalReason::TooLate);
         return true;
     }
-    if (m_state.shutdown && !m_state.shutdown->admits(now, m_deadline, m_state.routeDurations.longDuration(m_route->name))) {
+    if (m_state.shutdown
+        && !m_state.shutdown->admits(now, m_deadline + DeadlineMargin, m_state.routeDurations.longDuration(m_route->name))) {
         refuse(RefusalReason::NodeStopping);
         return true;
     }
@@ -276,12 +277,15 @@
 
 TimePoint RequestForwarder::deadline() const
 {
-    return m_state.shutdown ? std::min(m_deadline, m_state.shutdown->answersDueBy()) : m_deadline;
+    // A stream that has begun gets no other final answer, for which time would have to be left.
+    const TimePoint ownDeadline = m_response.streamStarted() ? m_deadline + DeadlineMargin : m_deadline;
+    return m_state.shutdown ? std::min(ownDeadline, m_state.shutdown->answersDueBy()) : ownDeadline;
 }
 
 std::chrono::milliseconds RequestForwarder::remainingTime() const
 {
-    return std::max(1ms, std::chrono::duration_cast<std::chrono::milliseconds>(deadline() + DeadlineMargin - m_state.clock.now()));
+    const TimePoint end = std::min(deadline(), m_deadline) + DeadlineMargin;
+    return std::max(1ms, std::chrono::duration_cast<std::chrono::milliseconds>(end - m_state.clock.now()));
 }
 
 // ---- sending ----
