Serve a request whose bytes were read in the moment of an idle close

What callers see: a request sent on a connection that a stopping node closes as idle was dropped, although the node had read it: an end of the connection without an answer, and no line in the log. The close at the idle limit had the same race. Cause: a read that has completed and whose handler is still queued is neither in the input nor in the socket. Class: the state of a connection is judged beside a step that is under way. Change: before an idle close the session lets the queued handlers run and looks again. Evidence: planned_stop/the_end_of_the_process/dropped_a_request_that_had_been_read_but_not_handled fails without the second look.

--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -1,6 +1,10 @@
 #include "apricotarch/app/caller_session.h"
 
 #include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "apricotarch/app/incomplete_close.h"
 #include "apricotarch/app/request_forwarder.h"
@@ -49,6 +53,7 @@
         m_firstByteAt.reset();
         m_lastByteAt = m_state.clock.now();
         m_continueSent = false;
+        bool hasYielded = false;
         while (true) {
             if (!m_caller.input().empty() && !parseInput()) {
                 co_return ReadResult::Refused;
@@ -56,15 +61,20 @@
             if (m_parser->isComplete()) {
                 co_return ReadResult::Request;
             }
-            const bool mayBeClosed = m_state.closesIdleCallers && !m_firstByteAt && m_caller.unreadBytes() == 0;
-            if (m_caller.isClosed() || mayBeClosed) {
+            if (m_caller.isClosed()) {
                 co_return ReadResult::Ended;
             }
-            // A request that has arrived at an idle connection is served, also if the socket has not been read yet.
-            const bool hasArrived = !m_firstByteAt && m_caller.unreadBytes() > 0;
-            if (m_state.clock.now() >= deadline() && !hasArrived) {
-                co_return handleTimeout();
+            sendContinue();
+            if (isDue()) {
+                if (m_firstByteAt || hasYielded) {
+                    co_return handleTimeout();
+                }
+                // A read that has completed may still wait to be handled.
+                hasYielded = true;
+                co_await asio::post(m_caller.executor(), asio::use_awaitable);
+                continue;
             }
+            hasYielded = false;
             co_await m_caller.changeEvent().waitUntil(deadline());
         }
     }
@@ -102,11 +112,23 @@
         }
         m_caller.input().erase(0, *consumed);
         m_caller.resume();
-        if (m_parser->isHeadComplete() && !m_parser->isComplete() && m_parser->head().expectsContinue && !m_continueSent) {
-            m_continueSent = true;
+        return true;
+    }
+
+    /// Tells a caller that waits for it to send the body.
+    void sendContinue()
+    {
+        if (m_parser->isHeadComplete() && m_parser->head().expectsContinue && !std::exchange(m_continueSent, true)) {
             m_caller.send("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        return true;
+    }
+
+    /// Whether the wait for the request is over. A request that has arrived at an idle connection is served, also if the socket has not
+    /// been read yet.
+    [[nodiscard]] bool isDue() const
+    {
+        const bool isIdle = !m_firstByteAt && m_caller.unreadBytes() == 0;
+        return (isIdle && m_state.closesIdleCallers) || (m_state.clock.now() >= deadline() && (isIdle || m_firstByteAt));
     }
 
     /// Returns the end of the current wait. Uses the limits in force now, since a new configuration may have raised them.
@@ -139,7 +161,7 @@
         sendRefusal(400, "malformed_request");
     }
 
-    void sendRefusal(int status, const char *reason, const char *headers = "")
+    void sendRefusal(int status, const char *reason, const std::string &headers = {})
     {
         m_state.metrics.increment(CounterFamily::Refusals, reason);
         LogEvent("request.refused").field("status", status).field("reason", reason).field("caller", m_caller.peer());
@@ -149,7 +171,7 @@
 public:
     /// Queues an error response to a request that is not forwarded. The connection must be closed afterwards.
     /// @param headers further header lines, each with its line end
-    static void sendErrorResponse(CallerConnection &caller, int status, const char *reason, const char *headers = "")
+    static void sendErrorResponse(CallerConnection &caller, int status, const char *reason, const std::string &headers = {})
     {
         const std::string body = std::string("{\"error\":\"") + reason + "\"}";
         caller.send("HTTP/1.1 " + std::to_string(status) + ' ' + reason + "\r\nContent-Type: application/json\r\nContent-Length: "
