Refuse uploads that a shutdown leaves no time for when their head has arrived

What callers see: a request that a stopping node was certain to refuse was told to send its body (100 Continue) and refused only when it had arrived, or at the end of the grace period. Also, the refusal sent callers back within 0.25 s if there was no other node, and at the end of the grace period it named the caller's time limit (too_late), which was not over. Cause: admission was decided after the body only. Class: what is known to fail is not rejected at once. Change: the decision is made when the head is there; Retry-After is 1 to 2 s if this node knows of no other one. Evidence: planned_stop/a_refusal/came_after_the_whole_body_had_arrived failed without the change; asks_callers_to_come_back_after_the_restart_if_there_is_no_other_node is new.

--- a/include/apricotarch/app/caller_response_writer.h
+++ b/include/apricotarch/app/caller_response_writer.h
@@ -23,6 +23,9 @@
     bool acceptsChunked = true; ///< The caller accepts chunked transfer encoding.
 };
 
+/// Encodes a Retry-After header with its line end.
+[[nodiscard]] std::string encodeRetryAfter(Duration retryAfter);
+
 /// Writes one response: a full response, a stream of events, or a local error response. Used by one request's coroutine.
 class CallerResponseWriter
 {
--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -129,6 +129,8 @@
     void abortResponse(const char *outcome);
     /// Reports that the caller's connection is closed before the answer is complete.
     void reportClose(std::string_view reason);
+    /// Records how long the request has taken, for predictions of requests like it.
+    void recordDuration();
     void finishRequest(int status, std::string_view outcome);
     void handleTimeout();
     void handleCallerDisconnect();
--- a/src/app/caller_response_writer.cpp
+++ b/src/app/caller_response_writer.cpp
@@ -24,6 +24,8 @@
     return "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason) + "\r\n";
 }
 
+} // namespace
+
 std::string encodeRetryAfter(Duration retryAfter)
 {
     std::array<char, 48> line{};
@@ -32,8 +34,6 @@
     return {line.data(), static_cast<std::size_t>(length)};
 }
 
-} // namespace
-
 CallerResponseWriter::CallerResponseWriter(
     CallerConnection &caller, CallerConnectionOptions options, const FrontState &state, bool isHeadRequest)
     : m_caller(caller)
--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "apricotarch/app/caller_response_writer.h"
 #include "apricotarch/app/incomplete_close.h"
 #include "apricotarch/app/request_forwarder.h"
+#include "apricotarch/app/shutdown_refusal.h"
 #include "apricotarch/base/log.h"
 
 namespace apricotarch
@@ -64,6 +66,9 @@
             if (m_caller.isClosed()) {
                 co_return ReadResult::Ended;
             }
+            if (refuseByShutdown()) {
+                co_return ReadResult::Refused;
+            }
             sendContinue();
             if (isDue()) {
                 if (m_firstByteAt || hasYielded) {
@@ -131,6 +136,31 @@
         return (isIdle && m_state.closesIdleCallers) || (m_state.clock.now() >= deadline() && (isIdle || m_firstByteAt));
     }
 
+    /// Refuses a request that a shutdown leaves no time for, without waiting for its body. @return whether it has been refused
+    bool refuseByShutdown()
+    {
+        if (!m_state.shutdown || !m_parser->isHeadComplete()) {
+            return false;
+        }
+        const RequestHead &head = m_parser->head();
+        Result<CallerRequest> request = m_state.protocolAdapter.decodeRequest(head.method, head.target, head.headers);
+        const Route *route = request ? m_state.plan->find(request->host, request->path) : nullptr;
+        if (route == nullptr) {
+            return false;
+        }
+        request->arrivedAt = firstByteAt();
+        if (!isRefusedByShutdown(m_state, *request, *route)) {
+            return false;
+        }
+        refuseAsStopping();
+        return true;
+    }
+
+    void refuseAsStopping()
+    {
+        sendRefusal(503, "node_stopping", encodeRetryAfter(stoppingRetryDelay(m_state)));
+    }
+
     /// Returns the end of the current wait. Uses the limits in force now, since a new configuration may have raised them.
     [[nodiscard]] TimePoint deadline() const
     {
@@ -148,7 +178,7 @@
             return ReadResult::Ended;
         }
         const bool isStopping = m_state.shutdown && m_state.clock.now() >= m_state.shutdown->answersDueBy();
-        isStopping ? sendRefusal(503, "node_stopping", "Retry-After: 0.1\r\n") : sendRefusal(408, "request_too_slow");
+        isStopping ? refuseAsStopping() : sendRefusal(408, "request_too_slow");
         return ReadResult::Refused;
     }
 
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include "apricotarch/app/shutdown_refusal.h"
 #include "apricotarch/base/background_task.h"
 #include "apricotarch/base/hash.h"
 #include "apricotarch/base/log.h"
@@ -82,11 +83,7 @@
     m_serviceId = chooseService();
     m_service = m_plan->service(m_serviceId);
     m_contentHash = contentHash(m_request.host + m_request.target + '\n' + m_request.body);
-    Duration time = m_request.timeLimit ? Duration(*m_request.timeLimit) : LongestRequestTime;
-    if (m_route->timeout.count() > 0) {
-        time = std::min<Duration>(time, m_route->timeout);
-    }
-    m_deadline = m_request.arrivedAt + time - DeadlineMargin;
+    m_deadline = requestDeadline(m_request, *m_route) - DeadlineMargin;
     const TimePoint now = m_state.clock.now();
     m_state.metrics.increment(CounterFamily::Requests, m_route->name);
     m_state.retryBudget.recordRequest(m_serviceId, now);
@@ -94,8 +91,7 @@
         refuse(RefusalReason::TooLate);
         return true;
     }
-    if (m_state.shutdown
-        && !m_state.shutdown->admits(now, m_deadline + DeadlineMargin, m_state.routeDurations.longDuration(m_route->name))) {
+    if (isRefusedByShutdown(m_state, m_request, *m_route)) {
         refuse(RefusalReason::NodeStopping);
         return true;
     }
--- a/src/app/request_forwarder_response.cpp
+++ b/src/app/request_forwarder_response.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "apricotarch/app/incomplete_close.h"
+#include "apricotarch/app/shutdown_refusal.h"
 #include "apricotarch/base/log.h"
 
 // Responses: the final answer to the caller, from a server or from this node.
@@ -25,15 +26,20 @@
 {
     if (m_response.streamStarted()) {
         m_response.endStream();
-        m_state.routeDurations.record(m_route->name, m_state.clock.now() - m_request.arrivedAt);
+        recordDuration();
         finishRequest(attempt.answer.status, "streamed");
         return;
     }
     m_response.sendFull(attempt.answer, attempt.body);
-    m_state.routeDurations.record(m_route->name, m_state.clock.now() - m_request.arrivedAt);
+    recordDuration();
     finishRequest(attempt.answer.status, "answered");
 }
 
+void RequestForwarder::recordDuration()
+{
+    m_state.routeDurations.record(m_route->name, m_state.clock.now() - m_request.arrivedAt);
+}
+
 void RequestForwarder::refuse(RefusalReason reason)
 {
     const RefusalResponse &response = refusalResponse(reason);
@@ -43,7 +49,7 @@
     if (reason == RefusalReason::Quarantined) {
         delay = QuarantineRetryDelay;
     } else if (reason == RefusalReason::NodeStopping) {
-        delay = std::chrono::milliseconds(std::uniform_int_distribution<int>(50, 250)(m_state.random)); // Other nodes can serve at once.
+        delay = stoppingRetryDelay(m_state);
     } else if (reason == RefusalReason::ServersFull) {
         delay += std::chrono::ceil<std::chrono::milliseconds>(m_state.backends.remainingDeclineTime(m_serviceId, m_state.clock.now()));
     }
@@ -80,14 +86,14 @@
 void RequestForwarder::handleTimeout()
 {
     // Before its own deadline, a request ends only because the process does.
-    const char *outcome = m_state.clock.now() < m_deadline ? "node_stopping" : "out_of_time";
-    m_state.metrics.increment(CounterFamily::Answers, outcome);
+    const bool isStopping = m_state.clock.now() < m_deadline;
+    const char *outcome = isStopping ? "node_stopping" : "out_of_time";
     if (m_response.streamStarted()) {
         abortResponse(outcome);
     } else if (m_mayHaveExecuted) {
         sendLocalResponse(504, outcome, std::nullopt);
     } else {
-        refuse(RefusalReason::TooLate);
+        refuse(isStopping ? RefusalReason::NodeStopping : RefusalReason::TooLate);
     }
 }
 
--- a/tests/src/unit-planned_stop.cpp
+++ b/tests/src/unit-planned_stop.cpp
@@ -106,6 +106,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_refusal)
+
+BOOST_AUTO_TEST_CASE(came_after_the_whole_body_had_arrived)
+{
+    TestNode node;
+    beginShutdown(node, 5s);
+    const std::string answer =
+        node.sendRequest(request("POST /book/1", 5000ms, "Content-Length: 100\r\nExpect: 100-continue\r\n"), "node_stopping");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("Retry-After: ") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(asks_callers_to_come_back_after_the_restart_if_there_is_no_other_node)
+{
+    TestNode node;
+    beginShutdown(node, 5s);
+    const std::string answer = node.sendRequest(request("POST /book/1", 5000ms), "node_stopping");
+    BOOST_TEST(answer.find("Retry-After: 1.") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(at_the_end_of_the_grace_period_named_the_time_limit_of_the_caller)
+{
+    TestNode node;
+    // Nothing accepts connections at this address.
+    node.addServer("a", answerView);
+    BackendRecord record = node.state.backends.find(ReplicaId("a"))->record;
+    record.address = {"192.0.2.1", 9};
+    node.state.backends.update(record, node.state.clock.now());
+    const ShutdownSchedule example(TimePoint(), GracePeriod);
+    CallerProbe caller(node, request("POST /book/1", 5000ms));
+    node.runFor(20ms);
+    beginShutdown(node, example.answersDueBy() - TimePoint() - 50ms);
+    node.runFor(600ms);
+    BOOST_TEST(caller.answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(caller.answer.find("too_late") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(the_end_of_the_process)
 
 BOOST_AUTO_TEST_CASE(dropped_a_request_that_had_been_read_but_not_handled)
--- a/tests/src/unit-shutdown_schedule.cpp
+++ b/tests/src/unit-shutdown_schedule.cpp
@@ -46,7 +46,9 @@
     const TimePoint late = Signal + 20s;
     BOOST_TEST(Schedule.admits(Signal + 1s, late, std::nullopt));
     BOOST_TEST(Schedule.admits(Signal + 1s, late, 2s));
+    BOOST_TEST(Schedule.admits(Signal + 2500ms, late, 2s));
     BOOST_TEST(!Schedule.admits(Signal + 3s, late, 1ms));
+    BOOST_TEST((Schedule.servesUntil() >= Signal + 3s)); // Some callers keep an answer of the directory for that long.
 }
 
 BOOST_AUTO_TEST_CASE(is_refused_if_requests_like_it_do_not_end_in_time)
