Predict durations from successes and from requests that ran out of time

A stopping node predicts from the latest requests of a route whether a new one ends in time. Errors counted with their short times, requests that ran out of time did not count, and one request was enough to refuse a route. Change: successes count, a request that ran out of time counts with its age, and fewer than eight predict nothing. Evidence: planned_stop/the_durations_of_requests/are_recorded_for_successes_only.

--- a/include/apricotarch/state/recent_durations.h
+++ b/include/apricotarch/state/recent_durations.h
@@ -23,11 +23,12 @@
     /// Records the time from the arrival of a request to the end of its answer.
     void record(const std::string &route, Duration duration);
 
-    /// Returns the duration that nine of ten requests of a route stay below; empty if none was recorded. Linear in the requests kept.
+    /// Returns the duration that nine of ten requests of a route stay below; empty if too few were recorded. Linear in the requests kept.
     [[nodiscard]] std::optional<Duration> longDuration(const std::string &route) const;
 
 private:
     static constexpr std::size_t RequestsPerRoute = 64;
+    static constexpr std::size_t MinRequests = 8; ///< Fewer requests predict nothing.
     static constexpr std::size_t MaxRoutes = 2000; ///< All routes are forgotten beyond, since names of routes change with configurations.
 
     struct Durations
--- a/src/app/request_forwarder_response.cpp
+++ b/src/app/request_forwarder_response.cpp
@@ -31,7 +31,9 @@
         return;
     }
     m_response.sendFull(attempt.answer, attempt.body);
-    recordDuration();
+    if (attempt.answer.success()) {
+        recordDuration();
+    }
     finishRequest(attempt.answer.status, "answered");
 }
 
@@ -88,6 +90,9 @@
     // Before its own deadline, a request ends only because the process does.
     const bool isStopping = m_state.clock.now() < m_deadline;
     const char *outcome = isStopping ? "node_stopping" : "out_of_time";
+    if (m_mayHaveExecuted) {
+        recordDuration(); // It would have taken longer.
+    }
     if (m_response.streamStarted()) {
         abortResponse(outcome);
     } else if (m_mayHaveExecuted) {
--- a/src/state/recent_durations.cpp
+++ b/src/state/recent_durations.cpp
@@ -29,7 +29,7 @@
 std::optional<Duration> RecentDurations::longDuration(const std::string &route) const
 {
     const auto found = m_byRoute.find(route);
-    if (found == m_byRoute.end()) {
+    if (found == m_byRoute.end() || found->second.latest.size() < MinRequests) {
         return std::nullopt;
     }
     std::vector<Duration> durations = found->second.latest;
--- a/tests/src/unit-planned_stop.cpp
+++ b/tests/src/unit-planned_stop.cpp
@@ -145,6 +145,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_durations_of_requests)
+
+BOOST_AUTO_TEST_CASE(are_recorded_for_successes_only)
+{
+    TestNode node;
+    bool succeeds = false;
+    node.addServer("a", [&succeeds](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{succeeds ? fullResponse(head, "booked") : "HTTP/1.1 404 No\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (int sent = 0; sent < 10; ++sent) {
+        (void)node.sendRequest(request("POST /book/1", 1500ms));
+    }
+    BOOST_TEST(!node.state.routeDurations.longDuration("/book/").has_value());
+    succeeds = true;
+    for (int sent = 0; sent < 10; ++sent) {
+        (void)node.sendRequest(request("POST /book/1", 1500ms), "booked");
+    }
+    BOOST_TEST(node.state.routeDurations.longDuration("/book/").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(the_end_of_the_process)
 
 BOOST_AUTO_TEST_CASE(dropped_a_request_that_had_been_read_but_not_handled)
