Check in the soak that leaving replicas get no late requests

DRAIN: no request from a node that was in touch since reaches a replica later than 2 s after the store acknowledged that it leaves.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -6,6 +6,7 @@
 
 #include "context.h"
 #include "front.h"
+#include "replica.h"
 
 namespace apricotarch::soak
 {
@@ -45,6 +46,7 @@
             checkRuns(call);
             checkAnswer(call);
             checkRefusal(call);
+            checkDraining(call);
         }
         if (m_lostWithoutPlan.size() > LossesWithoutPlan) {
             for (const Call *call : m_lostWithoutPlan) {
@@ -166,6 +168,16 @@
         }
     }
 
+    /// DRAIN: a leaving replica gets no request after its time of draining from a node that was in touch since.
+    void checkDraining(const Call &call)
+    {
+        for (const Run *run : runsOf(call)) {
+            if (run->leaving > DrainTime && m_context.isInTouch(call.node, run->begin - run->leaving, run->begin)) {
+                add("DRAIN", "replica=" + run->replica + " leaving_ms=" + std::to_string(run->leaving.count()), call);
+            }
+        }
+    }
+
     /// UNASKED: replicas run only what callers have sent.
     void checkAsked()
     {
--- a/soak/evidence.h
+++ b/soak/evidence.h
@@ -26,6 +26,7 @@
     bool declined = false; ///< The replica said that it did not run the request.
     bool brokeOff = false; ///< The replica ended the answer before it was whole.
     bool isSound = true; ///< The replica had no trouble meanwhile.
+    milliseconds leaving{0}; ///< Time since the store acknowledged that the replica leaves, 0 if it does not.
 };
 
 /// A request of a caller with what became of it.
--- a/soak/replica.cpp
+++ b/soak/replica.cpp
@@ -10,7 +10,6 @@
 {
 
 constexpr milliseconds HeartbeatInterval{1200};
-constexpr milliseconds DrainTime{2000};
 constexpr milliseconds DownTime{2000};
 constexpr milliseconds PollInterval{10};
 
@@ -66,8 +65,8 @@
     const std::lock_guard lock(m_mutex);
     if (m_up && !m_leaving) {
         m_leaving = true;
-        m_leavesAt = Clock::now() + 2 * DrainTime;
         writeEntry();
+        m_leavingSince = Clock::now();
     }
 }
 
@@ -123,7 +122,7 @@
         if (!m_up && m_entry && now - m_lastHeartbeat > 3 * HeartbeatInterval) {
             removeEntry();
         }
-        const bool leaves = m_up && m_leaving && now >= m_leavesAt;
+        const bool leaves = m_up && m_leaving && now >= m_leavingSince + 2 * DrainTime;
         if (leaves) {
             removeEntry();
         }
@@ -169,6 +168,8 @@
 {
     std::unique_lock lock(m_mutex);
     const std::string process = id();
+    const TimePoint begin = Clock::now();
+    const Clock::duration leaving = m_leaving ? begin - m_leavingSince : Clock::duration(0);
     lock.unlock();
     const std::string requestId = request.header("X-Request-Id");
     if (request.path() == "/healthz") {
@@ -177,8 +178,15 @@
     const std::string expected = request.header("X-Expect-Instance");
     const bool isOther = !expected.empty() && expected != process;
     const bool declines = isOther || requestId.empty() || trouble() == Trouble::Decline;
-    const TimePoint begin = Clock::now();
-    const std::size_t run = m_evidence.addRun({requestId, process, m_service, begin, TimePoint::max(), declines});
+    const std::size_t run = m_evidence.addRun({requestId,
+        process,
+        m_service,
+        begin,
+        TimePoint::max(),
+        declines,
+        false,
+        true,
+        isOther ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(leaving)});
     if (declines) {
         m_evidence.endRun(run, false, true);
         const Headers headers{{"X-Request-Id", requestId}, {"X-Instance-Id", process}, {"X-Not-Executed", "1"}};
--- a/soak/replica.h
+++ b/soak/replica.h
@@ -14,6 +14,8 @@
 namespace apricotarch::soak
 {
 
+constexpr milliseconds DrainTime{2000}; ///< Of the users' installation, after which a leaving replica gets no requests.
+
 /// What a replica does wrong for a time.
 enum class Trouble {
     None,
@@ -71,7 +73,7 @@
     TimePoint m_lastHeartbeat;
     TimePoint m_nextHeartbeat;
     TimePoint m_backAt;
-    TimePoint m_leavesAt;
+    TimePoint m_leavingSince; ///< Time of the store's acknowledgement.
     Trouble m_trouble = Trouble::None;
     TimePoint m_troubleUntil;
     std::atomic<bool> m_stopping = false;
--- a/soak/report.cpp
+++ b/soak/report.cpp
@@ -1,10 +1,12 @@
 #include "report.h"
 
+#include <algorithm>
 #include <iostream>
 #include <map>
 #include <set>
 
 #include "context.h"
+#include "front.h"
 
 namespace apricotarch::soak
 {
@@ -23,6 +25,18 @@
         }
         std::cout << '\n';
     }
+    // Checks with a time bound say little where few of these are in touch.
+    const Context context(evidence);
+    const auto &probes = evidence.probes();
+    const auto inTouch = std::count_if(probes.begin(), probes.end(), [&context](const Probe &probe) {
+        return probe.status != 0 && context.isInTouch(probe.node, probe.begin - ConfigTime, probe.end);
+    });
+    const auto &runs = evidence.runs();
+    const auto late = std::count_if(runs.begin(), runs.end(), [](const Run &run) {
+        return run.leaving > milliseconds(0);
+    });
+    std::cout << "probes count=" << probes.size() << " answered_in_touch=" << inTouch
+              << " configurations=" << evidence.configurations().size() << " runs_at_leaving_replicas=" << late << '\n';
     std::cout << "total calls=" << evidence.calls().size() << " runs=" << evidence.runs().size() << " stops=" << evidence.stops().size()
               << std::endl;
 }
--- a/tests/src/unit-soak_checks.cpp
+++ b/tests/src/unit-soak_checks.cpp
@@ -170,6 +170,18 @@
     BOOST_TEST(judge() == "REFUSED ");
 }
 
+BOOST_FIXTURE_TEST_CASE(report_a_run_at_a_replica_that_has_been_leaving_for_too_long, OneCall)
+{
+    run().leaving = 2100ms;
+    BOOST_TEST(judge() == "DRAIN ");
+}
+
+BOOST_FIXTURE_TEST_CASE(accept_a_run_at_a_replica_that_has_just_begun_to_leave, OneCall)
+{
+    run().leaving = 1900ms;
+    BOOST_TEST(judge() == "");
+}
+
 BOOST_FIXTURE_TEST_CASE(report_a_run_that_no_caller_asked_for, OneCall)
 {
     run().requestId = "call-2-";
