Reset connections whose answer they end when it is cut

What callers saw: a stream to a caller without chunked encoding ended with a normal close when the node closed it with output left, at the end of the process, for a caller that does not read, or after an exception, and so looked complete: 2,809,965 bytes of over 3.5 MB, then a clean end. Cause: only one of the paths that close a connection knew that the close is part of the answer. Class: a rule is kept by callers of a function instead of by the function. Change: the connection knows that its answer ends with it and is reset until that answer has been sent; a connection that the end of the process cuts is closed before. Evidence: planned_stop/the_end_of_the_process/made_a_cut_stream_look_complete_to_a_caller_whose_answer_ends_with_its_connection.

--- a/include/apricotarch/transport/caller_connection.h
+++ b/include/apricotarch/transport/caller_connection.h
@@ -107,9 +107,17 @@
     /// Shuts down the sending side after the queued bytes have been sent. Input is still received.
     void shutdownSend();
 
-    /// Closes the connection immediately; queued bytes are discarded.
+    /// Closes the connection immediately; queued bytes are discarded. The caller sees an error if the answer that is being sent ends with
+    /// the connection, since it would look complete.
     void close();
 
+    /// Records whether an answer that ends with the connection is being sent. Once it has ended, it still counts until it has been sent.
+    void setAnswerEndsWithConnection(bool isOpen) noexcept
+    {
+        m_answerEndsWithConnection = true;
+        m_answerIsOpen = isOpen;
+    }
+
     /// Closes the connection like close(), in a way that the caller sees as an error.
     void reset();
 
@@ -146,6 +154,8 @@
     bool m_reading = false;
     bool m_closed = false;
     bool m_shutdownRequested = false;
+    bool m_answerEndsWithConnection = false;
+    bool m_answerIsOpen = false; ///< More of the answer will be queued.
 };
 
 /// Connections of callers, each in the list while it is served.
--- a/src/app/caller_drain.cpp
+++ b/src/app/caller_drain.cpp
@@ -15,14 +15,15 @@
 
 constexpr Duration PollInterval = 20ms;
 
-/// Logs the connections that the end of the process cuts. @return their number
-std::size_t reportCutConnections(FrontState &state)
+/// Logs and closes the connections that the end of the process cuts. @return their number
+std::size_t closeCutConnections(FrontState &state)
 {
     std::size_t cut = 0;
-    for (const CallerConnection &caller : state.callers) {
+    for (CallerConnection &caller : state.callers) {
         if (caller.isBusy() && !caller.isClosed()) {
             ++cut;
             reportIncompleteClose(state, caller, {.reason = "process_ends", .discardedInputBytes = caller.unreadBytes()});
+            caller.close();
         }
     }
     return cut;
@@ -42,7 +43,7 @@
     while (!state.callers.empty() && state.clock.now() < schedule.exitsBy()) {
         co_await state.clock.sleep(std::min<Duration>(PollInterval, schedule.exitsBy() - state.clock.now()));
     }
-    const std::size_t cut = reportCutConnections(state);
+    const std::size_t cut = closeCutConnections(state);
     LogEvent("node.stopped")
         .field("connections", state.callers.size())
         .field("cut", cut)
--- a/src/app/caller_response_writer.cpp
+++ b/src/app/caller_response_writer.cpp
@@ -73,6 +73,7 @@
         message += "Transfer-Encoding: chunked\r\n";
     } else {
         m_options.keepAlive = false; // Closing the connection marks the end of the response.
+        m_caller.setAnswerEndsWithConnection(true);
     }
     appendConnectionHeader(message);
     message += "\r\n";
@@ -88,6 +89,8 @@
 {
     if (m_options.acceptsChunked) {
         m_caller.send("0\r\n\r\n");
+    } else {
+        m_caller.setAnswerEndsWithConnection(false);
     }
 }
 
@@ -121,11 +124,7 @@
 void CallerResponseWriter::abort()
 {
     disableReuse();
-    if (m_options.acceptsChunked) {
-        m_caller.close();
-    } else {
-        m_caller.reset(); // A normal end of the connection would mark the end of the response.
-    }
+    m_caller.close();
 }
 
 } // namespace apricotarch
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -108,8 +108,11 @@
 
 void CallerConnection::close()
 {
-    m_closed = true;
     ErrorCode ignored; // The socket is abandoned even if closing it fails.
+    if (!m_closed && m_answerEndsWithConnection && (m_answerIsOpen || pending() > 0)) {
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    m_closed = true;
     m_socket.close(ignored);
     m_changeEvent.notify();
 }
--- a/tests/src/unit-planned_stop.cpp
+++ b/tests/src/unit-planned_stop.cpp
@@ -213,6 +213,31 @@
     BOOST_TEST(drain.hasEnded());
 }
 
+BOOST_AUTO_TEST_CASE(made_a_cut_stream_look_complete_to_a_caller_whose_answer_ends_with_its_connection)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)), false, chunk(std::string("data: ") + std::string(8000, 'x') + "\n\n")};
+    });
+    tcp::socket caller(node.loop, tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    node.connectCaller(caller);
+    boost::asio::write(caller,
+        boost::asio::buffer(
+            std::string("POST /check/1 HTTP/1.0\r\nHost: desk\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n")));
+    for (int waits = 0; waits < 50 && node.state.callers.front().pending() < 100'000; ++waits) {
+        node.runFor(20ms);
+    }
+    beginShutdown(node, GracePeriod);
+    const Drain drain(node);
+    node.runFor(100ms);
+    BOOST_REQUIRE(drain.hasEnded());
+    std::string answer;
+    boost::system::error_code end;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(answer), end);
+    BOOST_TEST(end == boost::asio::error::connection_reset);
+}
+
 BOOST_AUTO_TEST_CASE(left_a_request_that_was_still_arriving_without_an_answer)
 {
     TestNode node;
