Refuse messages whose framing can be read in more than one way

Cause: framing taken on trust. The parser library ignores such a header, joins folded lines, takes chunks from HTTP/1.0, accepts equal lengths more than once and line feeds in quoted chunk extensions; nothing checked it. Requests get 400, or 501 if the body is in chunks with a further coding, and the connection is closed. Answers are unusable: the attempt is broken, the caller of a booking gets 502 and the connection is not reused. Answers 204 that announce a body end their connection; informational ones that do are unusable. Trailers are discarded. Host headers with anything but a host and a port get 400. Legal messages with one reading are served as before: chunk extensions, trailers, leading zeros, any case, spaces around values. Equal lengths that are repeated or listed are refused, as RFC 9112 (6.3) allows. Folded lines are still joined by the management server.

--- a/include/apricotarch/transport/message_parser.h
+++ b/include/apricotarch/transport/message_parser.h
@@ -56,7 +56,8 @@
 
     /**
      * Parses bytes that follow those parsed before.
-     * @return number of bytes consumed; MalformedMessage, or MessageTooLarge with step `request.header` or `request.body`
+     * @return number of bytes consumed; MalformedMessage, with step `request.transfer_coding` if only the coding of the body is not
+     *     supported, or MessageTooLarge with step `request.header` or `request.body`
      */
     [[nodiscard]] Result<std::size_t> parse(std::string_view bytes);
 
--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -133,6 +133,10 @@
             error.step == "request.header" ? sendRefusal(431, "header_too_large") : sendRefusal(413, "body_too_large");
             return;
         }
+        if (error.step == "request.transfer_coding") {
+            sendRefusal(501, "unknown_transfer_coding");
+            return;
+        }
         sendRefusal(400, "malformed_request");
     }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -13,6 +13,7 @@
 #include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/protocol/problem.h"
+#include "apricotarch/transport/message_framing.h"
 
 namespace apricotarch
 {
@@ -44,7 +45,17 @@
     }
 }
 
-HttpRequest toRequest(http::request<http::string_body> message, std::string peer)
+HttpHeaders toHeaders(const http::fields &fields)
+{
+    HttpHeaders headers;
+    for (const auto &header : fields) {
+        headers.add(std::string(header.name_string()), std::string(header.value()));
+    }
+    return headers;
+}
+
+/// @param headers the headers of the head; those of the message contain the fields of a trailer, too
+HttpRequest toRequest(http::request<http::string_body> message, HttpHeaders headers, std::string peer)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -52,9 +63,7 @@
     const std::size_t queryMark = target.find('?');
     request.path = target.substr(0, queryMark);
     request.query = queryMark == std::string::npos ? std::string() : target.substr(queryMark + 1);
-    for (const auto &header : message) {
-        request.headers.add(std::string(header.name_string()), std::string(header.value()));
-    }
+    request.headers = std::move(headers);
     request.body = std::move(message.body());
     request.peer = std::move(peer);
     return request;
@@ -273,7 +282,16 @@
     const auto deadline = std::make_shared<ReadDeadline>(stream, limits.requestTimeout);
     deadline->start();
     beast::error_code code;
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(UseAwaitable, code));
+    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(UseAwaitable, code));
+    HttpHeaders headers;
+    if (!code) {
+        headers = toHeaders(parser.get());
+        const bool isSound = findFramingFault({static_cast<int>(parser.get().version())}, headers) == FramingFault::None;
+        code = isSound ? beast::error_code() : make_error_code(http::error::bad_transfer_encoding);
+    }
+    if (!code) {
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(UseAwaitable, code));
+    }
     deadline->end(code);
     if (code) {
         const Problem problem = problemForReadError(code);
@@ -283,7 +301,7 @@
         co_return false;
     }
     const bool keepAlive = parser.get().keep_alive() && !stopping;
-    const HttpRequest request = toRequest(parser.release(), peer);
+    const HttpRequest request = toRequest(parser.release(), std::move(headers), peer);
     BeastResponder responder(stream, peer, limits.writeTimeout, keepAlive);
     ++active;
     stream.expires_never();
--- a/src/transport/message_parser.cpp
+++ b/src/transport/message_parser.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "apricotarch/transport/message_framing.h"
+
 namespace apricotarch
 {
 
@@ -28,6 +30,8 @@
     std::string reason;
     HttpHeaders headers;
     std::string body;
+    FramingFault fault = FramingFault::None;
+    FoldedLineFinder foldedLines;
 
 protected:
     using Error = beast::error_code;
@@ -40,19 +44,28 @@
         target.assign(targetText.data(), targetText.size());
     }
 
-    void on_response_impl(int code, Text text, int /*version*/, Error & /*code*/) override
+    void on_response_impl(int code, Text text, int versionNumber, Error & /*code*/) override
     {
+        version = versionNumber;
         status = code;
         reason.assign(text.data(), text.size());
     }
 
     void on_field_impl(http::field /*field*/, Text name, Text value, Error & /*code*/) override
     {
-        headers.add(std::string(name), std::string(value));
+        // Fields of a trailer are discarded. What they say would depend on whether they arrive together with the head.
+        if (!m_headComplete) {
+            headers.add(std::string(name), std::string(value));
+        }
     }
 
-    void on_header_impl(Error & /*code*/) override
+    void on_header_impl(Error &code) override
     {
+        m_headComplete = true;
+        fault = findFramingFault({version, status}, headers);
+        if (fault != FramingFault::None) {
+            code = http::error::bad_transfer_encoding;
+        }
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, Error & /*code*/) override
@@ -65,8 +78,11 @@
         return text.size();
     }
 
-    void on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/, Error & /*code*/) override
+    void on_chunk_header_impl(std::uint64_t /*size*/, Text extensions, Error &code) override
     {
+        if (!isPlainExtension({extensions.data(), extensions.size()})) {
+            code = http::error::bad_chunk_extension;
+        }
     }
 
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, Text text, Error & /*code*/) override
@@ -78,9 +94,12 @@
     void on_finish_impl(Error & /*code*/) override
     {
     }
+
+private:
+    bool m_headComplete = false;
 };
 
-/// Feeds a parser until it needs more input, is done or fails. @return number of bytes consumed
+/// Feeds a parser until it needs more input, is done or fails. Folded header lines are an error. @return number of bytes consumed
 template<typename Parser>
 std::size_t feed(Parser &parser, std::string_view bytes, beast::error_code &code)
 {
@@ -96,6 +115,9 @@
             break;
         }
     }
+    if (!code && parser.foldedLines.find(bytes.substr(0, used))) {
+        code = http::error::bad_value;
+    }
     return used;
 }
 
@@ -128,6 +150,9 @@
     if (code == http::error::body_limit) {
         return fail(ErrorId::MessageTooLarge, "request.body", "", code.message());
     }
+    if (code && m_impl->parser.fault == FramingFault::UnknownCoding) {
+        return fail(ErrorId::MalformedMessage, "request.transfer_coding", "", "the transfer coding is not supported");
+    }
     if (code) {
         return fail(ErrorId::MalformedMessage, "request.read", "", code.message());
     }
@@ -221,7 +246,8 @@
         impl.head.reason = std::move(impl.parser.reason);
         impl.head.headers = std::move(impl.parser.headers);
         impl.head.endsWithConnection = impl.parser.need_eof();
-        impl.head.keepAlive = impl.parser.keep_alive();
+        impl.head.keepAlive =
+            impl.parser.keep_alive() && !announcesForbiddenBody({impl.parser.version, impl.parser.status}, impl.head.headers);
     }
     return impl.head;
 }
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -288,6 +288,21 @@
     BOOST_TEST(server.activeRequests() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(with_more_than_one_reading_is_refused_and_its_body_is_not_run)
+{
+    TestServer server;
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    for (const char *framing : {"Transfer-Encoding: identity\r\n",
+             "Transfer-Encoding: chunked, identity\r\n",
+             "Transfer-Encoding: gzip, chunked\r\n",
+             "Content-Length: 5, 5\r\n",
+             "Content-Length: 5\r\nTransfer-Encoding: identity\r\n"}) {
+        const std::string answer = server.exchangeRaw("POST /x HTTP/1.1\r\nHost: a\r\n" + std::string(framing) + "\r\n" + hidden);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 400"), framing << answer);
+        BOOST_TEST(answer.find("/hidden") == std::string::npos, framing << answer);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_answered_as_not_run)
 {
     TestServer server;
