Notice within two seconds that connections to the store have gone silent

Cause: a poll of 4 s plus 0.7 s was the only proof of life of its connection, and the check whether the store can be reached only opens new ones. The class: a wait on a channel whose proof of life takes longer than what depends on it may.

The two polls of a node, 2.7 s each, are spread so that one is due to end within 1.35 s at any moment. One that is 0.5 s late is given up together with the other, and both tables are read at once on new connections.

Open: a connection of one table alone that goes silent on all nodes at once is noticed after up to 3.2 s.

--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -18,6 +18,7 @@
 #include "apricotarch/app/node_registration.h"
 #include "apricotarch/app/snapshot_exchange.h"
 #include "apricotarch/coordination/platform_services.h"
+#include "apricotarch/coordination/poll_schedule.h"
 #include "apricotarch/coordination/table_reader.h"
 #include "apricotarch/transport/authenticated_link.h"
 
@@ -67,6 +68,8 @@
     /// Records the incarnation of the store that the store itself or a peer has reported. @param source either, for the log
     void recordStoreIncarnation(StoreIncarnation incarnation, const char *source);
     [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
+    /// Reads a table's changes by a long poll. A late answer gives up the poll of the other table, too.
+    [[nodiscard]] asio::awaitable<Result<RowBatch>> pollChanges(Table table, StorePosition version);
 
     // ---- other nodes ----
 
@@ -103,6 +106,7 @@
     StorePosition m_planReadVersion; ///< Position up to which the configuration's table has been read; none requests a full read.
     StorePosition m_serversReadVersion; ///< Position up to which the servers' table has been read; none requests a full read.
     std::optional<StoreIncarnation> m_storeIncarnation; ///< Latest one that is known.
+    PollSchedule m_pollSchedule; ///< Of the polls of the two tables.
     bool m_storeReachable = true; ///< As of the last check.
     std::array<bool, 2> m_storeCallFailed{}; ///< By table: whether the last call to the store failed.
     bool m_urgentHeartbeatPending = false;
--- a/include/apricotarch/coordination/table_reader.h
+++ b/include/apricotarch/coordination/table_reader.h
@@ -46,6 +46,14 @@
      */
     [[nodiscard]] virtual asio::awaitable<Result<RowBatch>> readChanges(std::string table, StorePosition after, Duration wait) = 0;
 
+    /**
+     * Gives up the waits of readChanges() that are in progress, which then fail with TimedOut, and the connections that it keeps. Later
+     * calls use new connections.
+     */
+    virtual void abandonPolls()
+    {
+    }
+
     /// Latest incarnation of the store that an answer has reported.
     [[nodiscard]] virtual StoreIncarnation incarnation() const
     {
--- a/include/apricotarch/transport/http_client.h
+++ b/include/apricotarch/transport/http_client.h
@@ -58,6 +58,9 @@
      */
     [[nodiscard]] asio::awaitable<Result<std::string>> readSome(Duration timeout);
 
+    /// Closes the connection; an exchange in progress fails with ConnectionLost.
+    void close() noexcept;
+
     /// Whether another request may be sent.
     [[nodiscard]] bool isReusable() const noexcept;
 
--- a/src/app/fleet_synchronizer_store.cpp
+++ b/src/app/fleet_synchronizer_store.cpp
@@ -16,9 +16,6 @@
 
 using namespace std::chrono_literals;
 
-/// Longest time for which the store may hold a long poll. A shorter time detects broken connections sooner but costs more calls.
-constexpr Duration LongPollTime = 4s;
-
 /// Pause after a change of the servers' table, so that one call returns several changes.
 constexpr Duration ServerChangesPause = 250ms;
 
@@ -89,7 +86,30 @@
         co_return co_await m_tables.readTable(name);
     }
     // The store may never answer a long poll that was sent during an outage, so long polls resume only after a successful call.
-    co_return co_await m_tables.readChanges(name, version, recovering ? Duration::zero() : LongPollTime);
+    if (!recovering) {
+        Result<RowBatch> changes = co_await pollChanges(table, version);
+        if (changes || changes.error().id != ErrorId::TimedOut) {
+            co_return changes;
+        }
+    }
+    co_return co_await m_tables.readChanges(name, version, Duration::zero());
+}
+
+asio::awaitable<Result<RowBatch>> FleetSynchronizer::pollChanges(Table table, StorePosition version)
+{
+    const std::string &name = table == Table::Plan ? m_fleetTables.decoders().planTable : m_fleetTables.decoders().serversTable;
+    const auto index = static_cast<std::size_t>(table);
+    const Duration wait = m_pollSchedule.begin(index, m_state.clock.now());
+    Result<RowBatch> changes = co_await m_tables.readChanges(name, version, wait);
+    m_pollSchedule.end(index);
+    if (!changes && changes.error().id == ErrorId::TimedOut) {
+        LogEvent("store.poll_late", LogEvent::Level::Warning)
+            .field("table", table == Table::Plan ? "plan" : "servers")
+            .field("wait_ms", toMilliseconds(wait))
+            .error(changes.error());
+        m_tables.abandonPolls();
+    }
+    co_return changes;
 }
 
 asio::awaitable<void> FleetSynchronizer::checkStoreReachability()
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -198,6 +198,12 @@
     co_return bytes;
 }
 
+void HttpConnection::close() noexcept
+{
+    beast::error_code ignored;
+    m_impl->stream.socket().close(ignored);
+}
+
 bool HttpConnection::isReusable() const noexcept
 {
     return m_impl->reusable;
