--- a/tests/src/unit-planned_stop.cpp
+++ b/tests/src/unit-planned_stop.cpp
@@ -32,9 +32,10 @@
     explicit Drain(TestNode &node)
     {
         const auto drain = [](TestNode &drained, bool &stopsAccepting, bool &ended) -> boost::asio::awaitable<void> {
-            co_await drainCallers(drained.state, [&] {
+            std::function<void()> stopAccepting = [&stopsAccepting] {
                 stopsAccepting = true;
-            });
+            };
+            co_await drainCallers(drained.state, std::move(stopAccepting));
             ended = true;
         };
         boost::asio::co_spawn(node.loop, drain(node, m_stopsAccepting, m_ended), boost::asio::detached);
