Count a server's refusal for the process that answered, whenever its entry is read

Cause: findProcess() accepted statements only from connections that were opened after the entry of the current process had been read, but connections to it are opened before and kept. Class: the time at which this node learns of something is taken for the time at which it happened.

A statement now belongs to the current process if the request that it answers was sent after the entry was read (the previous process had ended by then), or if its connection was opened after the last loss of a connection before the restart became known. By the latter, statements that arrive before the entry are kept when it is read; those of the previous process are dropped as before. The same holds for the statement that a server shuts down.

Evidence: server_statements. Open: if no connection was lost before the restart, a refusal that arrives before the entry is dropped.

--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -137,6 +137,25 @@
     std::size_t m_next = 0;
 };
 
+/// Where an answer comes from that states something about its server. The server may have started again under the same id since.
+struct StatementOrigin
+{
+    /// @param connected when the connection with the answer was opened
+    StatementOrigin(TimePoint connected) noexcept // NOLINT(google-explicit-constructor): without a request, this is all that is known.
+        : StatementOrigin(connected, connected)
+    {
+    }
+    /// @param sent when the request that is answered was sent
+    StatementOrigin(TimePoint connected, TimePoint sent) noexcept
+        : connectedAt(connected)
+        , requestSentAt(sent)
+    {
+    }
+
+    TimePoint connectedAt;
+    TimePoint requestSentAt;
+};
+
 /// One backend server, with this node's state for it.
 class Backend : public boost::intrusive_ref_counter<Backend, boost::thread_unsafe_counter>
 {
@@ -152,6 +171,11 @@
     EngineStage orderedStage = EngineStage::Any; ///< Stage that this node has ordered; valid until stageChangeUntil.
     TimePoint stageChangedAt; ///< Time at which its stage was last found to have changed.
     TimePoint processKnownSince; ///< When this node learned of the server's current process.
+    /// Connections that were opened later are connections to the current process, although this node may not have known of it yet.
+    std::optional<TimePoint> previousProcessEndedAt;
+    std::optional<TimePoint> connectionLostAt; ///< When a connection to it was last lost or could not be opened.
+    TimePoint shutdownConnectedAt; ///< When the connection was opened on which shutdownStatedAt was learned.
+    TimePoint declineConnectedAt; ///< When the connection was opened on which declinesUntil was learned.
     std::optional<TimePoint> shutdownStatedAt; ///< When an answer of the current process first stated that it is shutting down.
     TimePoint declinesUntil; ///< The server wants no requests from this node until this time. Other nodes may still send some.
     TimePoint lastAnswerByteAt; ///< Time at which this node last received a byte of an answer from it.
@@ -186,6 +210,16 @@
     /// Records a failure of the server; it is avoided for a time that doubles with each consecutive failure, up to a limit.
     void recordFailure(TimePoint now);
 
+    /// Records that a connection to the server was lost or could not be opened.
+    void recordConnectionLoss(TimePoint now)
+    {
+        connectionLostAt = now;
+        recordFailure(now);
+    }
+
+    /// Called when the server's entry shows that it has started again: drops what the previous process has stated in its answers.
+    void dropStatementsOfPreviousProcess(TimePoint now);
+
     /// Records a valid answer.
     void recordSuccess() noexcept
     {
@@ -213,17 +247,17 @@
 
     /**
      * Records an answer in which a server states that it is shutting down. Valid until the server's next start.
-     * @param connectedAt when the connection with the answer was opened; the answer may be from an earlier process of the server
+     * @param origin origin of the answer, which may be from an earlier process of the server
      * @return whether this was not known before
      */
-    bool recordShutdownStatement(const ReplicaId &id, TimePoint connectedAt, TimePoint now);
+    bool recordShutdownStatement(const ReplicaId &id, const StatementOrigin &origin, TimePoint now);
 
     /**
      * Records an answer in which a server states that it wants no requests from this node until a time. Of several, the latest time counts.
-     * @param connectedAt see recordShutdownStatement()
+     * @param origin see recordShutdownStatement()
      * @return whether the time is later than the one known before
      */
-    bool recordDecline(const ReplicaId &id, TimePoint connectedAt, TimePoint until);
+    bool recordDecline(const ReplicaId &id, const StatementOrigin &origin, TimePoint until);
 
     /// Marks a server as removed after its entry was removed.
     void remove(const ReplicaId &id, TimePoint now);
@@ -271,8 +305,8 @@
     }
 
 private:
-    /// Returns the server if a process that it had when a connection was opened is still its current one; otherwise null.
-    [[nodiscard]] BackendPointer findProcess(const ReplicaId &id, TimePoint connectedAt) const;
+    /// Returns the server if a statement is from its current process; otherwise null.
+    [[nodiscard]] BackendPointer findProcess(const ReplicaId &id, const StatementOrigin &origin) const;
 
     std::map<ReplicaId, BackendPointer> m_backends;
     std::unordered_map<ServiceId, std::vector<BackendPointer>> m_byService;
--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -133,9 +133,17 @@
     }
 
     /// Records that a request with this id is sent on the connection.
-    void recordRequest(const RequestId &request)
+    void recordRequest(const RequestId &request, TimePoint now)
     {
-        m_requestHashes.insert(std::hash<RequestId>()(request));
+        m_lastRequestHash = std::hash<RequestId>()(request);
+        m_requestHashes.insert(m_lastRequestHash);
+        m_lastRequestAt = now;
+    }
+
+    /// Returns when the request with this id was sent if it is the last one on the connection; otherwise when the connection was opened.
+    [[nodiscard]] TimePoint sentAt(const RequestId &request) const
+    {
+        return mayHaveCarried(request) && m_lastRequestHash == std::hash<RequestId>()(request) ? m_lastRequestAt : m_openedAt;
     }
 
     TimePoint idleSince; ///< Valid while idle.
@@ -189,6 +197,8 @@
     bool m_isHeadRequest = false;
     std::size_t m_exchanges = 0; ///< Exchanges started.
     std::unordered_set<std::size_t> m_requestHashes; ///< Of the ids of the requests sent.
+    std::size_t m_lastRequestHash = 0;
+    TimePoint m_lastRequestAt;
     std::size_t m_skippedBytes = 0; ///< Bytes of answers that belong to no request, within the current exchange.
     bool m_skipping = false; ///< The answer being read belongs to another request and is discarded.
     bool m_connected = false;
--- a/src/app/front_state.cpp
+++ b/src/app/front_state.cpp
@@ -11,7 +11,8 @@
     const ReplicaId &server = connection.replica();
     const RequestId request = answer.request.value_or(RequestId());
     const TimePoint now = clock.now();
-    if (answer.serverIsShuttingDown && backends.recordShutdownStatement(server, connection.openedAt(), now)) {
+    const StatementOrigin origin{connection.openedAt(), connection.sentAt(request)};
+    if (answer.serverIsShuttingDown && backends.recordShutdownStatement(server, origin, now)) {
         backendPool.retireConnections(server, now);
         metrics.increment(CounterFamily::Servers, "leaving");
         LogEvent("server.leaving")
@@ -20,7 +21,7 @@
             .field("source", "answer")
             .field("status", answer.status);
     }
-    if (answer.serverDeclinesFor && backends.recordDecline(server, connection.openedAt(), now + *answer.serverDeclinesFor)) {
+    if (answer.serverDeclinesFor && backends.recordDecline(server, origin, now + *answer.serverDeclinesFor)) {
         metrics.increment(CounterFamily::Servers, "declining");
         LogEvent("server.declines").field("server", server).field("request", request).field("for_ms", answer.serverDeclinesFor->count());
     }
--- a/src/app/request_forwarder_outcome.cpp
+++ b/src/app/request_forwarder_outcome.cpp
@@ -123,7 +123,7 @@
     attempt.error = activeAttempt.connection->error();
     const bool maybeSent = activeAttempt.connection->maybeSent();
     activeAttempt.connection->close();
-    activeAttempt.backend->recordFailure(now);
+    activeAttempt.backend->recordConnectionLoss(now);
     if (!maybeSent) {
         attempt.result = AttemptResult::NotSent;
         return attempt;
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <set>
 #include <sstream>
+#include <utility>
 
 namespace apricotarch
 {
@@ -107,6 +108,18 @@
     avoidUntil = now + InitialAvoidance * (1 << doublings);
 }
 
+void Backend::dropStatementsOfPreviousProcess(TimePoint now)
+{
+    // The connections to the previous process were lost when it ended, and none could be opened until the current one listened.
+    previousProcessEndedAt = std::exchange(connectionLostAt, std::nullopt);
+    if (!previousProcessEndedAt || shutdownConnectedAt <= *previousProcessEndedAt) {
+        shutdownStatedAt.reset();
+    }
+    if (!previousProcessEndedAt || declineConnectedAt <= *previousProcessEndedAt) {
+        declinesUntil = now;
+    }
+}
+
 bool BackendTable::update(const BackendRecord &record, TimePoint now)
 {
     BackendPointer &backend = m_backends[record.id];
@@ -131,8 +144,7 @@
         backend->failures = 0;
         backend->avoidUntil = now;
         backend->processKnownSince = now;
-        backend->shutdownStatedAt.reset();
-        backend->declinesUntil = now;
+        backend->dropStatementsOfPreviousProcess(now);
     }
     if (current.service != record.service) {
         std::erase(m_byService[current.service], backend);
@@ -147,30 +159,38 @@
     return changed;
 }
 
-bool BackendTable::recordShutdownStatement(const ReplicaId &id, TimePoint connectedAt, TimePoint now)
+bool BackendTable::recordShutdownStatement(const ReplicaId &id, const StatementOrigin &origin, TimePoint now)
 {
-    const BackendPointer backend = findProcess(id, connectedAt);
+    const BackendPointer backend = findProcess(id, origin);
     if (!backend || backend->shutdownStatedAt) {
         return false;
     }
     backend->shutdownStatedAt = now;
+    backend->shutdownConnectedAt = origin.connectedAt;
     return true;
 }
 
-bool BackendTable::recordDecline(const ReplicaId &id, TimePoint connectedAt, TimePoint until)
+bool BackendTable::recordDecline(const ReplicaId &id, const StatementOrigin &origin, TimePoint until)
 {
-    const BackendPointer backend = findProcess(id, connectedAt);
+    const BackendPointer backend = findProcess(id, origin);
     if (!backend || backend->declinesUntil >= until) {
         return false;
     }
     backend->declinesUntil = until;
+    backend->declineConnectedAt = origin.connectedAt;
     return true;
 }
 
-BackendPointer BackendTable::findProcess(const ReplicaId &id, TimePoint connectedAt) const
+BackendPointer BackendTable::findProcess(const ReplicaId &id, const StatementOrigin &origin) const
 {
     BackendPointer backend = find(id);
-    return backend && backend->processKnownSince <= connectedAt ? backend : nullptr;
+    if (!backend) {
+        return nullptr;
+    }
+    // A request that was sent when the entry of a process had been read can only be answered by that process or a later one.
+    const bool sentSince = backend->processKnownSince <= origin.requestSentAt;
+    const bool connectedSince = backend->previousProcessEndedAt && *backend->previousProcessEndedAt < origin.connectedAt;
+    return sentSince || connectedSince ? backend : nullptr;
 }
 
 void BackendTable::remove(const ReplicaId &id, TimePoint now)
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -296,7 +296,7 @@
         connection = new BackendConnection(executor, replica, endpoint, now, m_observeHead);
     }
     if (!request.empty()) {
-        connection->recordRequest(request);
+        connection->recordRequest(request, now);
     }
     return connection;
 }
--- /dev/null
+++ b/tests/src/unit-server_statements.cpp
@@ -0,0 +1,119 @@
+#include <boost/test/unit_test.hpp>
+
+#include "fakes/test_node.h"
+
+using namespace apricotarch;
+using namespace apricotarch::fakes;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr TimePoint Start{Duration(100s)};
+const ReplicaId Id("a");
+
+/// A table with one server that starts again under its id one second later; its new entry is read after two seconds.
+struct RestartedServer
+{
+    RestartedServer()
+    {
+        record.id = Id;
+        record.service = ServiceId("desk");
+        record.startedAt = 10;
+        table.update(record, Start);
+    }
+
+    void readNewEntry()
+    {
+        record.startedAt = 20;
+        table.update(record, Start + 2s);
+    }
+
+    [[nodiscard]] bool isUsed(TimePoint now) const
+    {
+        return !table.selectUsable(ServiceId("desk"), now).empty();
+    }
+
+    BackendRecord record;
+    BackendTable table;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(server_statements)
+
+BOOST_AUTO_TEST_SUITE(a_refusal_on_a_connection_that_was_opened_before_the_entry_of_the_restarted_server_was_read)
+
+BOOST_FIXTURE_TEST_CASE(counts_if_the_request_was_sent_after_the_entry_had_been_read, RestartedServer)
+{
+    // 23 requests were sent within the time of one Retry-After, since the connection was older than what was known of the process.
+    readNewEntry();
+    BOOST_TEST(table.recordDecline(Id, {Start + 1500ms, Start + 6s}, Start + 10s));
+    BOOST_TEST(!isUsed(Start + 9s));
+    BOOST_TEST(isUsed(Start + 10s));
+}
+
+BOOST_FIXTURE_TEST_CASE(counts_if_the_connection_was_opened_after_those_of_the_previous_process_were_lost, RestartedServer)
+{
+    table.find(Id)->recordConnectionLoss(Start + 1s);
+    readNewEntry();
+    BOOST_TEST(table.recordDecline(Id, {Start + 1500ms, Start + 1900ms}, Start + 6s));
+    BOOST_TEST(!isUsed(Start + 5s));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_joined_to_the_entry_that_is_read_later, RestartedServer)
+{
+    table.find(Id)->recordConnectionLoss(Start + 1s);
+    BOOST_TEST(table.recordDecline(Id, {Start + 1500ms, Start + 1600ms}, Start + 6s));
+    readNewEntry();
+    BOOST_TEST(!isUsed(Start + 5s));
+    BOOST_TEST(isUsed(Start + 6s));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_dropped_if_it_was_stated_by_the_previous_process, RestartedServer)
+{
+    BOOST_TEST(table.recordDecline(Id, {Start, Start + 500ms}, Start + 9s));
+    table.find(Id)->recordConnectionLoss(Start + 1s);
+    readNewEntry();
+    BOOST_TEST(isUsed(Start + 3s));
+    BOOST_TEST(!table.recordDecline(Id, {Start + 100ms, Start + 900ms}, Start + 9s)); // Arrives late.
+    BOOST_TEST(isUsed(Start + 3s));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_handled_like_the_statement_that_the_server_shuts_down, RestartedServer)
+{
+    table.find(Id)->recordConnectionLoss(Start + 1s);
+    BOOST_TEST(table.recordShutdownStatement(Id, {Start + 1500ms, Start + 1600ms}, Start + 1700ms));
+    readNewEntry();
+    BOOST_TEST(table.find(Id)->statesShutdown());
+}
+
+BOOST_AUTO_TEST_CASE(ends_the_requests_of_a_node_that_goes_on_using_such_a_connection)
+{
+    TestNode node;
+    bool full = false;
+    ScriptedServer &server = node.addServer("a", [&full](const RequestHead &head, const std::string &) {
+        const std::string id(head.headers.value("X-Request-Id"));
+        return ScriptedAnswer{full
+                ? "HTTP/1.1 503 Full\r\nX-Request-Id: " + id + "\r\nX-Not-Executed: 1\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n"
+                : fullResponse(head, "week")};
+    });
+    auto send = [&node, number = 0]() mutable {
+        return node.sendRequest(
+            "GET /view/1 HTTP/1.1\r\nHost: desk\r\nX-Deadline-Ms: 5000\r\nX-Request-Id: v" + std::to_string(++number) + "\r\n\r\n");
+    };
+    BOOST_TEST(send().starts_with("HTTP/1.1 200"));
+    BackendRecord record = node.state.backends.find(Id)->record;
+    record.startedAt = 20;
+    node.state.backends.update(record, node.state.clock.now());
+    full = true;
+    for (int request = 0; request < 5; ++request) {
+        BOOST_TEST(send().starts_with("HTTP/1.1 503"));
+    }
+    BOOST_TEST(server.targets.size() == 2U);
+    BOOST_TEST(server.connections == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
