--- a/tests/src/unit-answer_cut_short_calls.cpp
+++ b/tests/src/unit-answer_cut_short_calls.cpp
@@ -70,7 +70,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(answer_cut_short)
+BOOST_AUTO_TEST_SUITE(answer_cut_short_calls)
 
 BOOST_AUTO_TEST_CASE(of_a_call_to_an_engine_has_no_status)
 {
--- a/tests/src/unit-planned_stop.cpp
+++ b/tests/src/unit-planned_stop.cpp
@@ -218,7 +218,8 @@
 {
     TestNode node;
     node.addServer("a", [](const RequestHead &head, const std::string &) {
-        return ScriptedAnswer{streamHead(head) + chunk(event(1)), false, chunk(std::string("data: ") + std::string(8000, 'x') + "\n\n")};
+        const std::string largeEvent = "data: " + std::string(8000, 'x') + "\n\n";
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)), false, chunk(largeEvent), 1ms};
     });
     tcp::socket caller(node.loop, tcp::v4());
     caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
@@ -226,9 +227,11 @@
     boost::asio::write(caller,
         boost::asio::buffer(
             std::string("POST /check/1 HTTP/1.0\r\nHost: desk\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n")));
-    for (int waits = 0; waits < 50 && node.state.callers.front().pending() < 100'000; ++waits) {
+    node.runFor(20ms);
+    for (int waits = 0; waits < 200 && node.state.callers.front().pending() < 100'000; ++waits) {
         node.runFor(20ms);
     }
+    BOOST_REQUIRE(node.state.callers.front().pending() > 0);
     beginShutdown(node, GracePeriod);
     const Drain drain(node);
     node.runFor(100ms);
