Weigh crashes of engines by how far the answer had come

Cause: an attempt whose first event had been received was no evidence of a crash, and a begun answer cleared the parts of its prompt.

Ruled out: the exchange of evidence between nodes and the thresholds; with a crash before the first event the same requests are stopped after three.

Change: only a complete answer, or one that goes on for a second, clears a part. A crash counts for a part with a likelihood that falls from 1 before the first event to 0 a second after it; nodes exchange the likelihoods. Three crashes soon after the first event suffice.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -115,11 +115,13 @@
   1: required i64 part
   /// Highest index of the part in a prompt.
   2: required i32 position
-  /// Engine processes that ended before they had begun an answer to a prompt with this part, and when.
+  /// Engine processes that ended while they ran a prompt with this part, and when.
   3: required list<i32> crashes
   4: required list<i32> crashAges
   /// When a prompt with this part was last answered; missing if that is not known.
   5: optional i32 answerAge
+  /// How likely a prompt with this part is the cause, in percent, by crash; 100 where it is missing.
+  6: optional list<i32> crashLikelihoods
 }
 
 struct FrontBeat {
--- a/include/apricotarch/coordination/prompt_part_quarantine.h
+++ b/include/apricotarch/coordination/prompt_part_quarantine.h
@@ -5,8 +5,9 @@
  * Finds parts of prompts that crash the engines that begin an answer to them, and quarantines these parts.
  *
  * No two requests with such a part need to be alike, and they come at any node. So the evidence is collected for each part and shared by
- * all nodes: the engine processes that ended before they had begun an answer, and the answers that were given. Sound parts that were in the
- * same prompts, or at the same engines, are answered elsewhere, which clears them.
+ * all nodes: the engine processes that ended while they ran a prompt with it, weighted by how likely it is that the prompt was the cause,
+ * and the answers that were given. Sound parts that were in the same prompts, or at the same engines, are answered elsewhere, which clears
+ * them.
  */
 
 #include <chrono>
@@ -23,15 +24,35 @@
 namespace apricotarch
 {
 
+/// A prompt whose answer has gone on for this long after its first event does not crash its engine.
+constexpr std::chrono::milliseconds SafeAnswerTime{1000};
+
+/**
+ * Returns how likely it is that a prompt has crashed its engine, compared with a prompt whose answer had not begun. An engine crashes when
+ * it begins to write an answer, so some events may have been received.
+ * @param sinceFirstEvent time from the first event of the answer to the crash; empty if no event was received
+ * @return from 0 to 1
+ */
+[[nodiscard]] double crashLikelihood(std::optional<Duration> sinceFirstEvent);
+
+/// The end of an engine's process while it ran a prompt.
+struct ObservedCrash
+{
+    std::uint32_t process = 0; ///< See engineProcessHash().
+    TimePoint at;
+    double likelihood = 1; ///< That the prompt is the cause, see crashLikelihood().
+};
+
 /// Evidence on parts of prompts, and the parts in quarantine. Not thread-safe; used on one event loop.
 class PromptPartQuarantine
 {
 public:
-    /// Crashes without an answer after which a part is quarantined; one more if another part is as likely the cause.
-    static constexpr std::size_t CrashThreshold = 3;
+    /// Sum of the likelihoods of a part's crashes at which it is quarantined; one more if another part is as likely the cause. Three
+    /// crashes soon after the first event suffice.
+    static constexpr double CrashThreshold = 2.7;
 
-    /// The same for parts that were answered shortly before the crashes.
-    static constexpr std::size_t AnsweredCrashThreshold = 5;
+    /// The same for parts that were answered shortly before the crashes: five crashes.
+    static constexpr double AnsweredCrashThreshold = 4.5;
 
     /// A crash counts for this long, so a part may be tried again this long after the first of its last three crashes.
     static constexpr std::chrono::minutes CrashPeriod{5};
@@ -42,15 +63,14 @@
     // ---- observations of this node ----
 
     /**
-     * Records that an engine ended before it had begun an answer to a prompt. The prompt's last part belongs to the request itself or to
-     * its session and is left out.
+     * Records that an engine ended while it ran a prompt. The prompt's last part belongs to the request itself or to its session and is
+     * left out.
      * @param prompt the prompt
-     * @param process the engine's process, see engineProcessHash()
-     * @param now current time
+     * @param crash the engine's process, when it ended, and how likely the prompt is the cause, see crashLikelihood()
      */
-    void recordCrash(const std::vector<PromptPart> &prompt, std::uint32_t process, TimePoint now);
+    void recordCrash(const std::vector<PromptPart> &prompt, const ObservedCrash &crash);
 
-    /// Records that a prompt was answered, or that its answer has been coming for a while. Clears its parts of earlier crashes.
+    /// Records that a prompt was answered, or that its answer has gone on for SafeAnswerTime. Clears its parts of earlier crashes.
     void recordAnswer(const std::vector<PromptPart> &prompt, TimePoint now);
 
     // ---- decisions ----
@@ -76,14 +96,22 @@
     void removeExpired(TimePoint now);
 
 private:
+    struct Crash
+    {
+        TimePoint at;
+        double likelihood = 1; ///< Of the likeliest prompt with the part at that process.
+    };
+
     struct Evidence
     {
         int position = 0;
-        std::map<std::uint32_t, TimePoint> crashes; ///< Time of the crash, by process.
+        std::map<std::uint32_t, Crash> crashes; ///< By process.
         std::optional<TimePoint> answeredAt;
         int reportsLeft = 0; ///< Heartbeats in which the evidence is still reported.
     };
 
+    /// Adds a crash, or raises the likelihood of one that is known. @return whether anything has changed
+    static bool addCrash(Evidence &evidence, const ObservedCrash &crash);
     /// Removes crashes that happened before an answer. @return whether there were any
     static bool clearUntil(Evidence &evidence, TimePoint answeredAt);
     /// Effect of another node's evidence on a part.
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -88,6 +88,7 @@
 {
     std::uint32_t process = 0; ///< Hash of the engine's id and start, see engineProcessHash().
     std::chrono::milliseconds age{0}; ///< Time since it ended.
+    double likelihood = 1; ///< That a prompt that it ran is the cause, from 0 to 1.
 };
 
 /// What a node knows of a part of prompts that may crash engines.
@@ -95,7 +96,7 @@
 {
     std::uint64_t part = 0; ///< See PromptPart::id.
     int position = 0; ///< Highest index of the part in a prompt.
-    std::vector<EngineCrash> crashes; ///< Processes that ended before they had begun an answer to a prompt with this part.
+    std::vector<EngineCrash> crashes; ///< Processes that ended while they ran a prompt with this part.
     std::optional<std::chrono::milliseconds> answerAge; ///< Time since a prompt with this part was last answered, if known.
 };
 
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -24,9 +24,6 @@
 /// A server that has a request and has sent nothing for this long may have failed without closing its connections.
 constexpr Duration SilenceTimeout = 1200ms;
 
-/// A stream that has gone on for this long after its first event does not crash its engine.
-constexpr Duration SafeAnswerTime = 300ms;
-
 /// A prefill is taken for lost if it is overdue by this factor of its prediction, and at least by the time MinPrefillTime, and the engine
 /// has answered this many prefills that were sent later.
 constexpr double OverduePrefillFactor = 2;
--- a/src/app/request_forwarder_outcome.cpp
+++ b/src/app/request_forwarder_outcome.cpp
@@ -141,11 +141,15 @@
 {
     const TimePoint now = m_state.clock.now();
     m_state.crashTracker.recordCrash(activeAttempt.backend->record.id, m_contentHash, now);
-    // An engine crashes when it begins the answer, so a prompt whose answer had begun is not the cause.
-    if (m_request.prompt && !activeAttempt.firstEventAt) {
-        m_state.partQuarantine.recordCrash(m_request.prompt->parts, activeAttempt.engineProcess, now);
-        m_state.notifyUrgentChange();
+    if (!m_request.prompt || activeAttempt.promptAnswered) {
+        return;
     }
+    std::optional<Duration> sinceFirstEvent;
+    if (activeAttempt.firstEventAt) {
+        sinceFirstEvent = now - *activeAttempt.firstEventAt;
+    }
+    m_state.partQuarantine.recordCrash(m_request.prompt->parts, {activeAttempt.engineProcess, now, crashLikelihood(sinceFirstEvent)});
+    m_state.notifyUrgentChange();
 }
 
 void RequestForwarder::recordPromptAnswered(ActiveAttempt &activeAttempt)
--- a/src/coordination/prompt_part_quarantine.cpp
+++ b/src/coordination/prompt_part_quarantine.cpp
@@ -20,6 +20,9 @@
 /// How long an answer is remembered. Reports of earlier crashes arrive within a few heartbeats.
 constexpr std::chrono::seconds AnswerMemory{30};
 
+/// Parts whose sums of likelihoods differ by less than this are equally likely the cause.
+constexpr double EqualLikelihoodMargin = 0.5;
+
 /// Most parts whose answers are remembered.
 constexpr std::size_t MaxAnsweredParts = 20'000;
 
@@ -30,7 +33,7 @@
 struct Rank
 {
     bool neverAnswered; ///< No node has answered a prompt with it lately. Parts that most prompts share are at every engine that crashes.
-    std::size_t crashes; ///< Crashes that no likelier part explains.
+    double crashes; ///< Sum of the likelihoods of the crashes that no likelier part explains.
     int position; ///< A part further back is shared by fewer sound requests.
     std::uint64_t part; ///< Makes the order total.
 
@@ -46,9 +49,18 @@
 
 } // namespace
 
+double crashLikelihood(std::optional<Duration> sinceFirstEvent)
+{
+    if (!sinceFirstEvent) {
+        return 1;
+    }
+    const double share = std::chrono::duration<double>(*sinceFirstEvent) / std::chrono::duration<double>(SafeAnswerTime);
+    return std::clamp(1 - share, 0.0, 1.0);
+}
+
 // ---- observations of this node ----
 
-void PromptPartQuarantine::recordCrash(const std::vector<PromptPart> &prompt, std::uint32_t process, TimePoint now)
+void PromptPartQuarantine::recordCrash(const std::vector<PromptPart> &prompt, const ObservedCrash &crash)
 {
     for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
         if (m_evidence.size() >= MaxEvidence && !m_evidence.contains(prompt[index].id)) {
@@ -56,12 +68,26 @@
         }
         Evidence &evidence = m_evidence[prompt[index].id];
         evidence.position = std::max(evidence.position, static_cast<int>(index));
-        evidence.crashes.emplace(process, now);
-        evidence.reportsLeft = ReportsPerChange;
+        if (addCrash(evidence, crash)) {
+            evidence.reportsLeft = ReportsPerChange;
+        }
     }
     evaluate();
 }
 
+bool PromptPartQuarantine::addCrash(Evidence &evidence, const ObservedCrash &crash)
+{
+    if (evidence.answeredAt && crash.at <= *evidence.answeredAt) {
+        return false;
+    }
+    const auto [found, isNew] = evidence.crashes.try_emplace(crash.process, Crash{crash.at, crash.likelihood});
+    if (isNew || found->second.likelihood >= crash.likelihood) {
+        return isNew;
+    }
+    found->second.likelihood = crash.likelihood;
+    return true;
+}
+
 void PromptPartQuarantine::recordAnswer(const std::vector<PromptPart> &prompt, TimePoint now)
 {
     bool cleared = false;
@@ -84,7 +110,7 @@
 {
     evidence.answeredAt = std::max(evidence.answeredAt.value_or(answeredAt), answeredAt);
     return std::erase_if(evidence.crashes, [&evidence](const auto &crash) {
-        return crash.second <= *evidence.answeredAt;
+        return crash.second.at <= *evidence.answeredAt;
     }) > 0;
 }
 
@@ -109,7 +135,7 @@
     std::set<std::uint32_t> explained;
     while (const std::optional<std::uint64_t> culprit = findCulprit(explained)) {
         quarantined.insert(*culprit);
-        for (const auto &[process, time] : m_evidence.at(*culprit).crashes) {
+        for (const auto &[process, crash] : m_evidence.at(*culprit).crashes) {
             explained.insert(process);
         }
     }
@@ -132,9 +158,10 @@
 {
     std::vector<Rank> ranks;
     for (const auto &[part, evidence] : m_evidence) {
-        const auto crashes = static_cast<std::size_t>(std::ranges::count_if(evidence.crashes, [&explained](const auto &crash) {
-            return !explained.contains(crash.first);
-        }));
+        double crashes = 0;
+        for (const auto &[process, crash] : evidence.crashes) {
+            crashes += explained.contains(process) ? 0 : crash.likelihood;
+        }
         const bool neverAnswered = !evidence.answeredAt && !m_answeredAt.contains(part);
         if (crashes >= (neverAnswered ? CrashThreshold : AnsweredCrashThreshold)) {
             ranks.push_back({neverAnswered, crashes, evidence.position, part});
@@ -145,10 +172,10 @@
     }
     const Rank best = *std::ranges::max_element(ranks);
     const auto equallyLikely = std::ranges::count_if(ranks, [&best](const Rank &rank) {
-        return rank.crashes == best.crashes && rank.neverAnswered == best.neverAnswered;
+        return rank.crashes > best.crashes - EqualLikelihoodMargin && rank.neverAnswered == best.neverAnswered;
     });
     // A sound part that was in all the same prompts is soon answered in another one, or the part that crashes engines occurs without it.
-    if (equallyLikely > 1 && best.crashes == CrashThreshold) {
+    if (equallyLikely > 1 && best.crashes < CrashThreshold + 1) {
         return std::nullopt;
     }
     return best.part;
@@ -179,8 +206,8 @@
         Evidence &evidence = entry->second;
         evidence.reportsLeft = std::max(0, evidence.reportsLeft - 1);
         PartEvidence report{entry->first, evidence.position, {}, std::nullopt};
-        for (const auto &[process, time] : evidence.crashes) {
-            report.crashes.push_back({process, age(time)});
+        for (const auto &[process, crash] : evidence.crashes) {
+            report.crashes.push_back({process, age(crash.at), crash.likelihood});
         }
         if (evidence.answeredAt) {
             report.answerAge = age(*evidence.answeredAt);
@@ -226,7 +253,7 @@
         if (evidence.answeredAt && time <= *evidence.answeredAt) {
             result.refuted = true;
         } else {
-            result.changed = evidence.crashes.emplace(crash.process, time).second || result.changed;
+            result.changed = addCrash(evidence, {crash.process, time, crash.likelihood}) || result.changed;
         }
     }
     return result;
@@ -241,7 +268,7 @@
     for (auto entry = m_evidence.begin(); entry != m_evidence.end();) {
         Evidence &evidence = entry->second;
         const std::size_t expired = std::erase_if(evidence.crashes, [now](const auto &crash) {
-            return now - crash.second > CrashPeriod;
+            return now - crash.second.at > CrashPeriod;
         });
         changed = changed || expired > 0;
         entry = evidence.crashes.empty() && evidence.reportsLeft == 0 ? m_evidence.erase(entry) : std::next(entry);
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -1,6 +1,7 @@
 #include "apricotarch/protocol/front_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "apricotarch/protocol/sighting_codec.h"
@@ -17,6 +18,9 @@
 /// Version in a FleetSnapshotRequest of a table that is not requested.
 constexpr std::int64_t NotRequested = std::numeric_limits<std::int64_t>::max();
 
+/// A likelihood of 1 in percent.
+constexpr std::int32_t FullPercent = 100;
+
 wire::ServerLoad toWire(const ServerLoad &entry)
 {
     wire::ServerLoad load;
@@ -89,7 +93,9 @@
         for (const EngineCrash &crash : entry.crashes) {
             evidence.crashes.push_back(static_cast<std::int32_t>(crash.process));
             evidence.crashAges.push_back(static_cast<std::int32_t>(crash.age.count()));
+            evidence.crashLikelihoods.push_back(static_cast<std::int32_t>(std::lround(crash.likelihood * FullPercent)));
         }
+        evidence.__isset.crashLikelihoods = true;
         if (entry.answerAge) {
             evidence.__set_answerAge(static_cast<std::int32_t>(entry.answerAge->count()));
         }
@@ -105,8 +111,10 @@
         evidence.part = static_cast<std::uint64_t>(entry.part);
         evidence.position = entry.position;
         for (std::size_t index = 0; index < std::min(entry.crashes.size(), entry.crashAges.size()); ++index) {
-            evidence.crashes.push_back(
-                {static_cast<std::uint32_t>(entry.crashes[index]), std::chrono::milliseconds(entry.crashAges[index])});
+            const std::int32_t percent = index < entry.crashLikelihoods.size() ? entry.crashLikelihoods[index] : FullPercent;
+            evidence.crashes.push_back({static_cast<std::uint32_t>(entry.crashes[index]),
+                std::chrono::milliseconds(entry.crashAges[index]),
+                std::clamp(percent, 0, FullPercent) / static_cast<double>(FullPercent)});
         }
         if (entry.__isset.answerAge) {
             evidence.answerAge = std::chrono::milliseconds(entry.answerAge);
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1285,6 +1285,37 @@
     BOOST_TEST(node.sendRequest(prompt("b2"), "0\r\n\r\n").find(event(1)) != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(after_their_first_event_is_refused_though_each_of_its_answers_begins)
+{
+    // Each answer began, which cleared the part before the engine ended: 20 requests crashed 20 engines.
+    TestNode node;
+    int deadlySends = 0;
+    const auto crashAfterFirstEvent = [&deadlySends](const RequestHead &head, const std::string &) {
+        if (head.headers.value("X-Prompt-Prefix").find("dead:") == std::string_view::npos) {
+            return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+        }
+        ++deadlySends;
+        const int next = head.headers.value("Last-Event-Id").empty() ? 1 : 2;
+        return ScriptedAnswer{.bytes = streamHead(head) + chunk(event(next)), .delay = 20ms, .endsConnection = true};
+    };
+    constexpr int Engines = 8;
+    for (int engine = 1; engine <= Engines; ++engine) {
+        node.addEngine(("i-" + std::to_string(engine)).c_str(), EngineStage::Decode, crashAfterFirstEvent);
+    }
+    const auto prompt = [](const std::string &secondPart, int own) {
+        return "POST /long/" + std::to_string(own) + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: p" + std::to_string(own)
+            + "\r\nX-Model: m\r\nX-Token-Counts: 1500,20\r\nX-Prompt-Prefix: f1:900," + secondPart + ":400,a" + std::to_string(own)
+            + ":200\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n";
+    };
+    BOOST_TEST(node.sendRequest(prompt("b1", 1), "0\r\n\r\n").ends_with("0\r\n\r\n"));
+    for (int request = 0; request < 5; ++request) {
+        (void)node.sendRequest(prompt("dead", 10 + request));
+    }
+    BOOST_TEST(deadlySends <= 5);
+    BOOST_TEST(node.sendRequest(prompt("dead", 20)).starts_with("HTTP/1.1 503"));
+    BOOST_TEST(node.sendRequest(prompt("b2", 21), "0\r\n\r\n").ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_long_prompt)
