Ask a server that loses a connection at once whether it has ended

Cause: a connection lost within 5 ms of the start of an attempt counted for nothing, on new connections and on kept ones.

Ruled out: counting every such loss. A server over its limit of connections resets new ones, and an idle connection may be closed just before a request arrives; two such losses would quarantine a sound request for ten minutes.

Change: 50 ms after such a loss the node opens a connection to the server. If it is not accepted, the loss is recorded as a crash at the time when it happened. One check at a time for each process of a server.

--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "apricotarch/app/front_settings.h"
+#include "apricotarch/app/possible_crash.h"
 #include "apricotarch/coordination/crash_tracker.h"
 #include "apricotarch/coordination/engine_groups.h"
 #include "apricotarch/coordination/prompt_part_quarantine.h"
@@ -105,6 +106,8 @@
     SharedRetryBudget retryBudget;
     CrashTracker crashTracker;
     PromptPartQuarantine partQuarantine;
+    /// Losses of connections that may have been crashes, by process of the server, until it has been checked.
+    std::map<std::uint32_t, std::vector<PossibleCrash>> uncheckedLosses;
     PlacementPlanner placementPlanner;
     BackendConnectionPool backendPool;
     /// Called when this node's load on a server changes, see notifyLoadChanged().
--- a/src/app/request_forwarder_outcome.cpp
+++ b/src/app/request_forwarder_outcome.cpp
@@ -14,8 +14,8 @@
 
 using namespace std::chrono_literals;
 
-/// A connection that is lost within this time was closed before the server had read the request, so it is no sign of a crash.
-constexpr Duration ShortestTimeToCrash = 5ms;
+/// A connection that is lost within this time without a byte of an answer may have been closed before the server had read the request.
+constexpr Duration UnreadTime = 5ms;
 
 /// Whether callers take a status for the promise that the request has not run and will not run.
 bool promisesNotExecuted(int status)
@@ -131,7 +131,7 @@
     m_mayHaveExecuted = true;
     attempt.result = AttemptResult::Broken;
     attempt.answerStarted = activeAttempt.firstEventAt.has_value();
-    if (!activeAttempt.prefillOnly && attempt.error.id == ErrorId::ConnectionLost && now - activeAttempt.startedAt > ShortestTimeToCrash) {
+    if (!activeAttempt.prefillOnly && attempt.error.id == ErrorId::ConnectionLost) {
         recordPossibleCrash(activeAttempt);
     }
     return attempt;
@@ -139,17 +139,24 @@
 
 void RequestForwarder::recordPossibleCrash(const ActiveAttempt &activeAttempt)
 {
-    const TimePoint now = m_state.clock.now();
-    m_state.crashTracker.recordCrash(activeAttempt.backend->record.id, m_contentHash, now);
-    if (!m_request.prompt || activeAttempt.promptAnswered) {
-        return;
+    const BackendRecord &server = activeAttempt.backend->record;
+    PossibleCrash crash{.server = server.id,
+        .address = activeAttempt.connection->endpoint(),
+        .content = m_contentHash,
+        .prompt = {},
+        .at = m_state.clock.now()};
+    crash.process = activeAttempt.engineProcess;
+    if (m_request.prompt && !activeAttempt.promptAnswered) {
+        crash.prompt = m_request.prompt->parts;
     }
-    std::optional<Duration> sinceFirstEvent;
     if (activeAttempt.firstEventAt) {
-        sinceFirstEvent = now - *activeAttempt.firstEventAt;
+        crash.likelihood = crashLikelihood(crash.at - *activeAttempt.firstEventAt);
+    }
+    if (!activeAttempt.answer && crash.at - activeAttempt.startedAt <= UnreadTime) {
+        recordCrashUnlessServerAccepts(m_state, std::move(crash));
+    } else {
+        recordCrash(m_state, crash);
     }
-    m_state.partQuarantine.recordCrash(m_request.prompt->parts, {activeAttempt.engineProcess, now, crashLikelihood(sinceFirstEvent)});
-    m_state.notifyUrgentChange();
 }
 
 void RequestForwarder::recordPromptAnswered(ActiveAttempt &activeAttempt)
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Resets all connections and accepts no more, like a process that ends.
+    void end()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        closeConnections();
+    }
+
     std::vector<std::string> targets; ///< Targets of the received requests, in order.
     std::size_t connections = 0; ///< Number of accepted connections.
     std::size_t requestsOnConnection = 0; ///< While the script runs: requests received on the connection, including the current one.
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1246,6 +1246,92 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_request_whose_connection_is_lost_at_once)
+
+namespace
+{
+
+/// A booking with a body that all of them share.
+std::string booking(int number)
+{
+    return "POST /book/42 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: b" + std::to_string(number)
+        + "\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nvisi";
+}
+
+/// Servers that end, or only reset the connection, as soon as they have read a booking. They answer views.
+class FragileServers
+{
+public:
+    FragileServers(TestNode &node, int count, bool end)
+    {
+        for (int index = 0; index < count; ++index) {
+            const auto script = [this, index, end](const RequestHead &head, const std::string &body) {
+                if (head.target.starts_with("/view/")) {
+                    return answerView(head, body);
+                }
+                ++bookings;
+                if (end) {
+                    m_servers[static_cast<std::size_t>(index)]->end();
+                }
+                return ScriptedAnswer{.bytes = "", .closes = true};
+            };
+            m_servers.push_back(&node.addServer(("i-" + std::to_string(index)).c_str(), script));
+        }
+    }
+
+    int bookings = 0;
+
+private:
+    std::vector<ScriptedServer *> m_servers;
+};
+
+/// Time in which a node finds out whether a server has ended.
+constexpr std::chrono::milliseconds CheckTime = 200ms;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(is_refused_after_it_has_ended_two_servers_on_new_connections)
+{
+    // A request that crashed servers within 5 ms was never stopped: it crashed one a second for as long as it came.
+    TestNode node;
+    FragileServers servers(node, 4, true);
+    for (int number = 1; number <= 2; ++number) {
+        BOOST_TEST(node.sendRequest(booking(number)).starts_with("HTTP/1.1 502"));
+        node.runFor(CheckTime);
+    }
+    BOOST_TEST(servers.bookings == 2);
+    BOOST_TEST(node.sendRequest(booking(3)).starts_with("HTTP/1.1 503"));
+    BOOST_TEST(servers.bookings == 2);
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_after_it_has_ended_two_servers_on_kept_connections)
+{
+    TestNode node;
+    FragileServers servers(node, 3, true);
+    for (int number = 1; number <= 2; ++number) {
+        BOOST_TEST(node.sendRequest(ViewRequest, "week").ends_with("week"));
+        BOOST_TEST(node.sendRequest(booking(number)).starts_with("HTTP/1.1 502"));
+        node.runFor(CheckTime);
+    }
+    BOOST_TEST(node.sendRequest(booking(3)).starts_with("HTTP/1.1 503"));
+    BOOST_TEST(servers.bookings == 2);
+}
+
+BOOST_AUTO_TEST_CASE(is_still_sent_if_the_servers_go_on)
+{
+    // A server resets connections beyond the number that it accepts, and may close an idle one just before a request arrives.
+    TestNode node;
+    FragileServers servers(node, 2, false);
+    for (int number = 1; number <= 4; ++number) {
+        BOOST_TEST(node.sendRequest(booking(number)).starts_with("HTTP/1.1 502"));
+        node.runFor(CheckTime);
+    }
+    BOOST_TEST(servers.bookings == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
 
 BOOST_AUTO_TEST_CASE(is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not)
