Retire idle connections to a server when one of them has gone silent

What callers saw: when open connections to a server go silent while new ones work, each request took the next kept connection to it and waited for its answer timeout before another server was asked.

Cause: only the connection of the request that waited was closed.

Change: once a request on a kept connection has been silent for its answer timeout, the server's idle connections are retired.

Measured: silent_server/kept_connections_that_have_gone_silent failed before (the second request took a silent connection) and passes.

--- a/src/app/request_forwarder_silence.cpp
+++ b/src/app/request_forwarder_silence.cpp
@@ -22,6 +22,10 @@
             .field("server", activeAttempt.backend->record.id)
             .field("silent_ms", toMilliseconds(now - m_serverProgressAt))
             .field("answer_started", m_response.streamStarted() ? "yes" : "no");
+        // A kept connection may have gone silent for good, and with it the idle ones to the same server.
+        if (!activeAttempt.answer && !activeAttempt.connection->isFirstExchange()) {
+            m_state.backendPool.retireConnections(activeAttempt.backend->record.id, now);
+        }
     }
     if (hasQuarantinedPart() || chooseNextStep(AttemptResult::Silent, collectProgress()) != NextStep::TryAnother) {
         return false;
@@ -86,6 +90,8 @@
     silent.silentStream = std::move(stream);
     if (const std::optional<StreamFault> &fault = silent.silentStream->fault()) {
         silent.connection->fail(fault->error, fault->detail);
+    } else {
+        silent.connection->setRetainedBytes(silent.silentStream->retainedBytes());
     }
 }
 
--- a/tests/src/unit-silent_server.cpp
+++ b/tests/src/unit-silent_server.cpp
@@ -479,4 +479,43 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(kept_connections_that_have_gone_silent)
+
+BOOST_AUTO_TEST_CASE(are_not_tried_one_after_the_other)
+{
+    // Each request took the next of the silent connections to a server and waited until it was asked again elsewhere.
+    TestNode node;
+    bool keptAreSilent = false;
+    ScriptedServer *server = nullptr;
+    server = &node.addServer("a", [&](const RequestHead &head, const std::string &body) {
+        const bool isSilent = keptAreSilent && server->requestsOnConnection > 1;
+        ScriptedAnswer answer = isSilent ? ScriptedAnswer{""} : answerView(head, body);
+        answer.delay = 20ms; // So that requests at the same time need a connection each.
+        return answer;
+    });
+    node.addServer("b", answerView);
+    setBusy(node, "b", true);
+    const auto view = [](int number) {
+        return "GET /view/" + std::to_string(number) + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: v" + std::to_string(number)
+            + "\r\nX-Deadline-Ms: 1500\r\n\r\n";
+    };
+    {
+        CallerProbe first(node, view(1));
+        CallerProbe second(node, view(2));
+        CallerProbe third(node, view(3));
+        node.runFor(200ms);
+        BOOST_REQUIRE(server->connections == 3U);
+    }
+    keptAreSilent = true;
+    BOOST_TEST(node.sendRequest(view(4), "week").ends_with("week"));
+    node.runFor(1s); // The server is avoided for a while after its silence.
+    const auto startedAt = std::chrono::steady_clock::now();
+    BOOST_TEST(node.sendRequest(view(5), "week").ends_with("week"));
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 300ms));
+    BOOST_TEST(server->targets.back() == "/view/5");
+    BOOST_TEST(server->connections == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
