Limit the sum of all buffers of a node

What callers would see: a faulty server that sends bytes without end makes a node run out of memory, and all its callers lose their requests.

Cause: each answer, event, output, frame and answer of the store had a limit of its own, their sum had none; request bodies counted only once they had arrived.

Ruled out: heads and informational heads use no memory beyond their own limits; but informational heads without end cost processor time.

Change: BufferBudget, 35% of the memory, charged by connections to servers (with what is kept of an incomplete event), callers' input and output, the client of the store and frames of other nodes; beyond it the largest holder is given up. Bodies count from their first byte, 25% of the memory. Frames are allocated as they arrive. At most 16 informational heads for an answer.

--- a/include/apricotarch/app/front_settings.h
+++ b/include/apricotarch/app/front_settings.h
@@ -44,6 +44,12 @@
     Duration gracePeriod = std::chrono::seconds(8); ///< Time from SIGTERM to SIGKILL.
     std::chrono::milliseconds directoryTtl{1000}; ///< How long callers may cache a directory answer.
     std::size_t memoryLimitMegabytes = 256; ///< Memory limit, above which the process is killed.
+
+    /// Returns how many bytes may be buffered of answers, of callers' input and output, and of messages of the store and of other nodes.
+    [[nodiscard]] std::size_t bufferLimitBytes() const noexcept;
+    /// Returns how many bytes request bodies may take.
+    [[nodiscard]] std::size_t bodyLimitBytes() const noexcept;
+
     std::size_t maxFullMeshNodes = DefaultMaxFullMeshNodes; ///< With more nodes, not every node sends heartbeats to every other.
     std::size_t logLinesPerSecond = 100; ///< Lines beyond this rate are dropped and counted.
 
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -47,7 +47,8 @@
         , retryBudget(settings.retryLimits)
         , crashTracker(CrashTrackerPeriods())
         , placementPlanner(settings.engineCosts, seed)
-        , backendPool(ConnectionPoolLimits())
+        , buffers(settings.bufferLimitBytes())
+        , backendPool(ConnectionPoolLimits(), &buffers)
         , random(seed + 1)
     {
         backendPool.setHeadObserver([this](const BackendConnection &connection, const AnswerHead &head) {
@@ -109,6 +110,7 @@
     /// Losses of connections that may have been crashes, by process of the server, until it has been checked.
     std::map<std::uint32_t, std::vector<PossibleCrash>> uncheckedLosses;
     PlacementPlanner placementPlanner;
+    BufferBudget buffers; ///< What is kept of answers, of callers' input and output, and of messages of the store and of other nodes.
     BackendConnectionPool backendPool;
     /// Called when this node's load on a server changes, see notifyLoadChanged().
     std::function<void(const Backend &, std::int64_t tokens, const std::vector<PromptPart> &prompt)> onLoadChanged;
@@ -122,7 +124,7 @@
     std::map<ReplicaId, TimePoint> changingEngines;
     std::mt19937_64 random; ///< For jitter and the weighted choice of services.
     std::size_t activeRequests = 0; ///< Number of requests in progress.
-    std::size_t bufferedBodyBytes = 0; ///< Total size of the buffered request bodies.
+    std::size_t bufferedBodyBytes = 0; ///< Total size of the request bodies that have arrived or are arriving.
     CallerConnectionList callers; ///< Connections of callers that are open.
     std::optional<ShutdownSchedule> shutdown; ///< Set when the shutdown begins.
     bool closesIdleCallers = false; ///< During a shutdown: connections are closed as soon as no request is in progress on them.
--- a/include/apricotarch/transport/authenticated_link.h
+++ b/include/apricotarch/transport/authenticated_link.h
@@ -23,6 +23,8 @@
 namespace apricotarch
 {
 
+class BufferBudget;
+
 /// Shared by all replies whose simultaneous transfers are limited; the number of references to it counts them.
 struct TransferToken : boost::intrusive_ref_counter<TransferToken>
 {
@@ -49,7 +51,9 @@
      * @param authenticator authenticates messages with the installation's key
      * @param metrics counts sent datagrams and dropped messages
      */
-    AuthenticatedLink(EventLoopPool &eventLoops, const MessageAuthenticator &authenticator, Metrics &metrics);
+    /// @param budget limits what is kept of frames that are arriving; null for no limit beyond that of each frame
+    AuthenticatedLink(
+        EventLoopPool &eventLoops, const MessageAuthenticator &authenticator, Metrics &metrics, BufferBudget *budget = nullptr);
     AuthenticatedLink(const AuthenticatedLink &) = delete;
     AuthenticatedLink &operator=(const AuthenticatedLink &) = delete;
     ~AuthenticatedLink();
--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -19,6 +19,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "apricotarch/base/buffer_budget.h"
 #include "apricotarch/base/clock.h"
 #include "apricotarch/base/endpoint.h"
 #include "apricotarch/base/ids.h"
@@ -50,8 +51,13 @@
     /// Receives the head of each answer on a connection, including answers that are discarded.
     using HeadObserver = std::function<void(const BackendConnection &, const AnswerHead &)>;
 
-    BackendConnection(
-        const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint, TimePoint openedAt, HeadObserver observeHead);
+    /// @param budget limits what is kept of answers; null for no limit beyond those of each answer
+    BackendConnection(const asio::any_io_executor &executor,
+        ReplicaId replica,
+        Endpoint endpoint,
+        TimePoint openedAt,
+        HeadObserver observeHead,
+        BufferBudget *budget = nullptr);
 
     // ---- exchange ----
 
@@ -95,6 +101,9 @@
         return m_parser->body();
     }
 
+    /// Records how many bytes its user has taken out of body() and keeps because they are incomplete. They count in the budget.
+    void setRetainedBytes(std::size_t bytes);
+
     /// Ends the exchange; closes the connection if it cannot be reused. @return whether it can be reused
     [[nodiscard]] bool endExchange();
 
@@ -174,6 +183,8 @@
     /// Fails the exchange if the server sends more than an answer can hold. @return whether it has failed
     [[nodiscard]] bool exceedsLimits();
     void resetParser();
+    /// Counts the buffered bytes in the budget, which may fail the exchange.
+    void chargeBuffers();
     void failExchange(ErrorId id, const char *step, const std::string &detail);
     void notifyWaiter();
 
@@ -199,6 +210,9 @@
     std::unordered_set<std::size_t> m_requestHashes; ///< Of the ids of the requests sent.
     std::size_t m_lastRequestHash = 0;
     TimePoint m_lastRequestAt;
+    BufferCharge m_charge;
+    std::size_t m_retainedBytes = 0; ///< See setRetainedBytes().
+    std::size_t m_informationalAnswers = 0; ///< Within the current exchange.
     std::size_t m_skippedBytes = 0; ///< Bytes of answers that belong to no request, within the current exchange.
     bool m_skipping = false; ///< The answer being read belongs to another request and is discarded.
     bool m_connected = false;
@@ -227,7 +241,8 @@
 class BackendConnectionPool
 {
 public:
-    explicit BackendConnectionPool(ConnectionPoolLimits limits);
+    /// @param budget limits what all connections keep of answers; null for no limit
+    explicit BackendConnectionPool(ConnectionPoolLimits limits, BufferBudget *budget = nullptr);
 
     /// Sets the observer of the answers on all connections that are created afterwards.
     void setHeadObserver(BackendConnection::HeadObserver observer);
@@ -267,6 +282,7 @@
     [[nodiscard]] bool isRetired(const BackendConnection &connection) const;
 
     ConnectionPoolLimits m_limits;
+    BufferBudget *m_budget;
     BackendConnection::HeadObserver m_observeHead;
     std::map<ReplicaId, std::vector<BackendConnection::Pointer>> m_idle;
     std::map<ReplicaId, TimePoint> m_retiredAt; ///< Connections that were opened until this time are not reused.
--- a/include/apricotarch/transport/caller_connection.h
+++ b/include/apricotarch/transport/caller_connection.h
@@ -15,6 +15,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include "apricotarch/base/buffer_budget.h"
 #include "apricotarch/base/clock.h"
 #include "apricotarch/transport/async_event.h"
 
@@ -27,7 +28,8 @@
                          public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
-    explicit CallerConnection(asio::ip::tcp::socket socket);
+    /// @param budget limits what all connections keep of input and output; null for no limit
+    explicit CallerConnection(asio::ip::tcp::socket socket, BufferBudget *budget = nullptr);
 
     // ---- input ----
 
@@ -138,6 +140,8 @@
 
     void read();
     void write();
+    /// Counts the buffered bytes in the budget, which may close the connection.
+    void chargeBuffers();
 
     static constexpr std::size_t ReadChunkBytes = 4096;
     static constexpr std::size_t MaxUnreadBytes = 64 * 1024; ///< Limit of unprocessed bytes, such as pipelined requests.
@@ -149,6 +153,7 @@
     std::string m_output;
     std::string m_sending;
     std::array<char, ReadChunkBytes> m_chunk{};
+    BufferCharge m_charge;
     std::size_t m_requestCount = 0;
     std::optional<TimePoint> m_requestBegunAt;
     bool m_reading = false;
--- a/include/apricotarch/transport/event_splitter.h
+++ b/include/apricotarch/transport/event_splitter.h
@@ -42,6 +42,12 @@
         return m_incompleteEvent.empty();
     }
 
+    /// Memory taken by the incomplete event at the end of the bytes received so far.
+    [[nodiscard]] std::size_t retainedBytes() const noexcept
+    {
+        return m_incompleteEvent.capacity();
+    }
+
     /// Set if the stream has to be given up. No further events are returned then.
     [[nodiscard]] const std::optional<StreamFault> &fault() const noexcept
     {
--- a/include/apricotarch/transport/http_client.h
+++ b/include/apricotarch/transport/http_client.h
@@ -19,6 +19,8 @@
 namespace apricotarch
 {
 
+class BufferBudget;
+
 /// A connection. Must be used by one coroutine at a time, on the event loop on which it was created.
 class HttpConnection
 {
@@ -29,7 +31,8 @@
      * @param timeout limit for connecting
      * @return the connection, or ConnectFailed, after which it is certain that nothing was sent
      */
-    [[nodiscard]] static asio::awaitable<Result<std::unique_ptr<HttpConnection>>> connect(Endpoint endpoint, Duration timeout);
+    [[nodiscard]] static asio::awaitable<Result<std::unique_ptr<HttpConnection>>> connect(
+        Endpoint endpoint, Duration timeout, BufferBudget *budget = nullptr);
 
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
@@ -78,7 +81,8 @@
 class HttpClient
 {
 public:
-    HttpClient();
+    /// @param budget limits what all connections keep of answers, on a single event loop; null for no limit beyond that of each answer
+    explicit HttpClient(BufferBudget *budget = nullptr);
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
     ~HttpClient();
--- a/src/app/caller_session.cpp
+++ b/src/app/caller_session.cpp
@@ -26,10 +26,8 @@
 /// Longest wait for a caller that does not read its response.
 constexpr Duration FlushTimeout = 10s;
 
-/// Largest share of the memory limit that buffered request bodies may use.
-constexpr double MaxBodyMemoryShare = 0.3;
-
-constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
+/// When a caller may repeat a request for which the node has no memory.
+constexpr Duration MemoryRetryDelay = 500ms;
 
 /// Result of reading a request.
 enum class ReadResult : std::uint8_t {
@@ -47,6 +45,12 @@
         , m_caller(caller)
     {
     }
+    ~RequestSource()
+    {
+        countBody(0);
+    }
+    RequestSource(const RequestSource &) = delete;
+    RequestSource &operator=(const RequestSource &) = delete;
 
     /// Reads the next request.
     [[nodiscard]] asio::awaitable<ReadResult> readNext()
@@ -89,6 +93,13 @@
         return *m_parser;
     }
 
+    /// Takes the body of the request that has been read. It is no longer counted in FrontState::bufferedBodyBytes.
+    [[nodiscard]] std::string takeBody()
+    {
+        countBody(0);
+        return std::move(m_parser->body());
+    }
+
     [[nodiscard]] TimePoint firstByteAt() const
     {
         return m_firstByteAt.value_or(m_lastByteAt);
@@ -98,6 +109,7 @@
     void resetParser()
     {
         const CallerLimits &limits = m_state.plan->limits();
+        countBody(0);
         m_parser.emplace(ReadLimits{static_cast<std::uint32_t>(limits.headerBytes), limits.bodyBytes});
     }
 
@@ -116,10 +128,23 @@
             return false;
         }
         m_caller.input().erase(0, *consumed);
+        countBody(m_parser->body().capacity());
+        if (!m_parser->body().empty() && m_state.bufferedBodyBytes > m_state.settings.bodyLimitBytes()) {
+            sendRefusal(503, "node_memory", encodeRetryAfter(MemoryRetryDelay));
+            resetParser();
+            return false;
+        }
         m_caller.resume();
         return true;
     }
 
+    /// Counts the part of the body that has arrived in FrontState::bufferedBodyBytes.
+    void countBody(std::size_t bytes)
+    {
+        m_state.bufferedBodyBytes += bytes - m_countedBodyBytes;
+        m_countedBodyBytes = bytes;
+    }
+
     /// Tells a caller that waits for it to send the body.
     void sendContinue()
     {
@@ -219,6 +244,7 @@
     std::optional<TimePoint> m_firstByteAt;
     TimePoint m_lastByteAt;
     bool m_continueSent = false;
+    std::size_t m_countedBodyBytes = 0; ///< See countBody().
 };
 
 /// Waits until all queued output has been sent, for at most FlushTimeout.
@@ -263,15 +289,8 @@
         RequestSource::sendErrorResponse(caller, 400, "invalid_request");
         co_return false;
     }
-    request->body = std::move(source.parser().body());
+    request->body = source.takeBody();
     request->arrivedAt = source.firstByteAt();
-    const double maxBodyBytes = MaxBodyMemoryShare * static_cast<double>(state.settings.memoryLimitMegabytes * BytesPerMegabyte);
-    if (static_cast<double>(state.bufferedBodyBytes + request->body.size()) > maxBodyBytes) {
-        state.metrics.increment(CounterFamily::Refusals, "node_memory");
-        LogEvent("request.refused").field("request", request->id).field("status", 503).field("reason", "node_memory");
-        RequestSource::sendErrorResponse(caller, 503, "node_memory");
-        co_return false;
-    }
     RequestForwarder forwarder(state, caller, std::move(*request), CallerConnectionOptions{head.keepAlive, head.acceptsChunked});
     const bool canReuse = co_await forwarder.serve();
     co_await flush(state, caller);
@@ -319,7 +338,7 @@
 
 asio::awaitable<void> serveCaller(FrontState &state, asio::ip::tcp::socket socket)
 {
-    const boost::intrusive_ptr<CallerConnection> caller(new CallerConnection(std::move(socket)));
+    const boost::intrusive_ptr<CallerConnection> caller(new CallerConnection(std::move(socket), &state.buffers));
     caller->start();
     state.callers.push_back(*caller);
     try {
--- a/src/app/front.cpp
+++ b/src/app/front.cpp
@@ -43,6 +43,9 @@
 /// A call to the store that takes longer than this counts as failed.
 constexpr Duration StoreTimeout = 1500ms;
 
+/// Limits of the servers whose requests have no bodies.
+constexpr HttpServerLimits BodilessRequests{.headerBytes = 8192, .bodyBytes = 1024};
+
 /// Poll interval of the settings file, which may change without a signal.
 constexpr Duration SettingsPollInterval = 2s;
 
@@ -123,22 +126,22 @@
               m_clock,
               m_protocolAdapter,
               static_cast<std::uint64_t>(wallClockMicroseconds()))
-        , m_store(m_state.settings.storeAddress, StoreTimeout)
+        , m_store(m_state.settings.storeAddress, StoreTimeout, &m_state.buffers)
         , m_authenticator(m_state.settings.peerKey)
-        , m_link(m_eventLoops, m_authenticator, m_state.metrics)
+        , m_link(m_eventLoops, m_authenticator, m_state.metrics, &m_state.buffers)
         , m_incarnation(wallClockMicroseconds())
         , m_fleetSynchronizer(m_state, m_store, m_store, m_link, platformDecoders(), m_incarnation)
         , m_stageController(m_state,
               m_store,
               {platform::encodeStageOrder, platform::encodeReportRequest, platform::decodeReport},
               ProcessId{m_state.settings.node, m_incarnation})
-        , m_readinessServer(m_eventLoops, HttpServerLimits(), platform::readinessHandler([this] {
+        , m_readinessServer(m_eventLoops, BodilessRequests, platform::readinessHandler([this] {
             return m_state.isReady();
         }))
-        , m_directoryServer(m_eventLoops, HttpServerLimits(), platform::directoryHandler([this](const ZoneId &zone) {
+        , m_directoryServer(m_eventLoops, BodilessRequests, platform::directoryHandler([this](const ZoneId &zone) {
             return selectAddresses(zone);
         }))
-        , m_metricsServer(m_eventLoops, HttpServerLimits(), metricsHandler(m_state.metrics))
+        , m_metricsServer(m_eventLoops, BodilessRequests, metricsHandler(m_state.metrics))
         , m_acceptor(m_eventLoops.coordinationLoop())
         , m_signals(m_eventLoops.coordinationLoop(), SIGTERM, SIGINT, SIGHUP)
     {
@@ -266,6 +269,7 @@
         m_state.settings.directoryTtl = settings->directoryTtl;
         m_state.settings.gracePeriod = settings->gracePeriod;
         m_state.settings.memoryLimitMegabytes = settings->memoryLimitMegabytes;
+        m_state.buffers.setLimit(m_state.settings.bufferLimitBytes());
         LogEvent("settings.reloaded").field("file", m_settingsFile);
     }
 
--- a/src/app/front_settings.cpp
+++ b/src/app/front_settings.cpp
@@ -11,9 +11,21 @@
 namespace
 {
 
+/// Shares of the memory limit that buffers and request bodies may take. The rest is for the node's state, copies and unused memory of the
+/// allocator.
+constexpr double MaxBufferShare = 0.35;
+constexpr double MaxBodyShare = 0.25;
+
+constexpr double BytesPerMegabyte = 1024 * 1024;
+
 constexpr NumberRange LogLinesPerSecondRange{1, 100'000};
 constexpr NumberRange MaxFullMeshNodesRange{1, 1'000};
 
+std::size_t shareOf(std::size_t megabytes, double share)
+{
+    return static_cast<std::size_t>(static_cast<double>(megabytes) * BytesPerMegabyte * share);
+}
+
 Duration seconds(double count)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
@@ -53,6 +65,16 @@
 
 } // namespace
 
+std::size_t FrontSettings::bufferLimitBytes() const noexcept
+{
+    return shareOf(memoryLimitMegabytes, MaxBufferShare);
+}
+
+std::size_t FrontSettings::bodyLimitBytes() const noexcept
+{
+    return shareOf(memoryLimitMegabytes, MaxBodyShare);
+}
+
 tl::expected<FrontSettings, ValidationErrors> parseFrontSettings(const std::string &text)
 {
     ValidationErrors errors;
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -252,6 +252,8 @@
     activeAttempt.connection->body().clear();
     if (const std::optional<StreamFault> &fault = m_eventSplitter.fault()) {
         activeAttempt.connection->fail(fault->error, fault->detail);
+    } else {
+        activeAttempt.connection->setRetainedBytes(m_eventSplitter.retainedBytes());
     }
     if (events.empty()) {
         return; // Bytes that complete no event are no progress.
--- a/src/transport/authenticated_link.cpp
+++ b/src/transport/authenticated_link.cpp
@@ -15,6 +15,7 @@
 #include <boost/endian/conversion.hpp>
 
 #include "apricotarch/base/background_task.h"
+#include "apricotarch/base/buffer_budget.h"
 
 namespace apricotarch
 {
@@ -28,6 +29,9 @@
 
 constexpr std::size_t MaxDatagramBytes = 64 * 1024;
 constexpr std::uint32_t MaxFrameBytes = 16 * 1024 * 1024;
+
+/// Bytes of a frame that are read at a time.
+constexpr std::size_t FrameStepBytes = 64UL * 1024;
 constexpr std::chrono::seconds FrameTimeout{1};
 
 /// A frame may take longer than FrameTimeout by its size divided by this rate, which several transfers over a link of 10 Mbit/s reach.
@@ -62,7 +66,7 @@
     co_return Result<void>();
 }
 
-asio::awaitable<Result<std::string>> readFrame(beast::tcp_stream &stream, std::string peer)
+asio::awaitable<Result<std::string>> readFrame(beast::tcp_stream &stream, std::string peer, BufferBudget *budget)
 {
     FrameLength length{};
     stream.expires_after(FrameTimeout);
@@ -76,9 +80,20 @@
         co_return fail(
             ErrorId::MessageTooLarge, "peer.read_frame", peer, "a frame exceeds the limit of " + std::to_string(MaxFrameBytes) + " bytes");
     }
-    std::string bytes(size, '\0');
+    BufferCharge charge(budget, "peer", [&stream] {
+        beast::error_code ignored; // The frame is abandoned even if closing the socket fails.
+        stream.socket().close(ignored);
+    });
+    std::string bytes;
     stream.expires_after(transferTimeout(size));
-    co_await asio::async_read(stream, asio::buffer(bytes), asio::redirect_error(UseAwaitable, code));
+    // Memory is taken as bytes arrive: the size is only a claim until then.
+    while (bytes.size() < size && !code) {
+        const std::size_t received = bytes.size();
+        bytes.resize(std::min<std::size_t>(size, received + FrameStepBytes));
+        charge.set(bytes.capacity());
+        co_await asio::async_read(
+            stream, asio::buffer(bytes.data() + received, bytes.size() - received), asio::redirect_error(UseAwaitable, code));
+    }
     if (code) {
         co_return failureForError(code, "peer.read_frame", peer);
     }
@@ -89,10 +104,11 @@
 
 struct AuthenticatedLink::Impl : std::enable_shared_from_this<AuthenticatedLink::Impl>
 {
-    Impl(EventLoopPool &eventLoops, const MessageAuthenticator &messageAuthenticator, Metrics &metricsRegistry)
+    Impl(EventLoopPool &eventLoops, const MessageAuthenticator &messageAuthenticator, Metrics &metricsRegistry, BufferBudget *bufferBudget)
         : loop(eventLoops.coordinationLoop())
         , authenticator(messageAuthenticator)
         , metrics(metricsRegistry)
+        , budget(bufferBudget)
         , socket(loop)
         , acceptor(loop)
     {
@@ -107,6 +123,7 @@
     asio::io_context &loop;
     const MessageAuthenticator &authenticator;
     Metrics &metrics;
+    BufferBudget *budget;
     udp::socket socket;
     tcp::acceptor acceptor;
     DatagramHandler onDatagram;
@@ -193,7 +210,7 @@
     beast::error_code code;
     const std::string peer = connection.remote_endpoint(code).address().to_string();
     beast::tcp_stream stream(std::move(connection));
-    const Result<std::string> frame = co_await readFrame(stream, peer);
+    const Result<std::string> frame = co_await readFrame(stream, peer, budget);
     if (!frame) {
         co_return;
     }
@@ -231,15 +248,16 @@
     if (!sent) {
         co_return Failure(sent.error());
     }
-    const Result<std::string> frame = co_await readFrame(stream, peer.text());
+    const Result<std::string> frame = co_await readFrame(stream, peer.text(), budget);
     if (!frame) {
         co_return Failure(frame.error());
     }
     co_return authenticator.verify(*frame, peer.text());
 }
 
-AuthenticatedLink::AuthenticatedLink(EventLoopPool &eventLoops, const MessageAuthenticator &authenticator, Metrics &metrics)
-    : m_impl(std::make_shared<Impl>(eventLoops, authenticator, metrics))
+AuthenticatedLink::AuthenticatedLink(
+    EventLoopPool &eventLoops, const MessageAuthenticator &authenticator, Metrics &metrics, BufferBudget *budget)
+    : m_impl(std::make_shared<Impl>(eventLoops, authenticator, metrics, budget))
 {
 }
 
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -27,6 +27,9 @@
 /// Largest number of bytes that wait for the rest of a head or of a chunk's header.
 constexpr std::size_t MaxUnparsedBytes = 128UL * 1024;
 
+/// A server that sends more informational heads than this before its answer is cut off. Each is parsed by itself.
+constexpr std::size_t MaxInformationalAnswers = 16;
+
 /// A server that sends more than this in answers to other requests is cut off.
 constexpr std::size_t MaxSkippedBytes = 256UL * 1024;
 
@@ -35,14 +38,21 @@
 
 } // namespace
 
-BackendConnection::BackendConnection(
-    const asio::any_io_executor &executor, ReplicaId replica, Endpoint endpoint, TimePoint openedAt, HeadObserver observeHead)
+BackendConnection::BackendConnection(const asio::any_io_executor &executor,
+    ReplicaId replica,
+    Endpoint endpoint,
+    TimePoint openedAt,
+    HeadObserver observeHead,
+    BufferBudget *budget)
     : m_socket(executor)
     , m_connectTimer(executor)
     , m_replica(std::move(replica))
     , m_endpoint(std::move(endpoint))
     , m_openedAt(openedAt)
     , m_observeHead(std::move(observeHead))
+    , m_charge(budget, "answer", [this] {
+        failExchange(ErrorId::MessageTooLarge, "backend.read", "the memory for answers is used up, and this one takes the most");
+    })
 {
 }
 
@@ -55,6 +65,7 @@
     m_changeEvent = &changeEvent;
     m_maybeSent = false;
     m_skippedBytes = 0;
+    m_informationalAnswers = 0;
     ++m_exchanges;
     resetParser();
     if (m_connected) {
@@ -157,6 +168,7 @@
     }
     m_input.append(m_chunk.data(), size);
     parseInput();
+    chargeBuffers();
     if (m_phase == ExchangePhase::Waiting || m_phase == ExchangePhase::ReceivingBody) {
         read();
     }
@@ -176,6 +188,7 @@
                 m_observeHead(*this, m_parser->head());
             }
             m_skipping = !m_isExpectedAnswer(m_parser->head());
+            m_informationalAnswers += m_parser->head().status < 200 ? 1 : 0;
             if (!m_skipping) {
                 m_phase = ExchangePhase::ReceivingBody;
             }
@@ -210,6 +223,8 @@
     const char *excess = nullptr;
     if (m_parser->body().size() > MaxBufferedBytes) {
         excess = "the body of the answer is too large";
+    } else if (m_informationalAnswers > MaxInformationalAnswers) {
+        excess = "too many informational answers";
     } else if (m_skippedBytes > MaxSkippedBytes) {
         excess = "too many bytes of answers to other requests";
     } else if (!m_parser->isComplete() && m_input.size() > MaxUnparsedBytes) {
@@ -221,9 +236,24 @@
     return excess != nullptr;
 }
 
+void BackendConnection::setRetainedBytes(std::size_t bytes)
+{
+    m_retainedBytes = bytes;
+    chargeBuffers();
+}
+
+void BackendConnection::chargeBuffers()
+{
+    if (m_phase != ExchangePhase::Failed) {
+        m_charge.set(m_input.capacity() + m_parser->body().capacity() + m_retainedBytes);
+    }
+}
+
 bool BackendConnection::endExchange()
 {
     m_changeEvent = nullptr;
+    m_retainedBytes = 0;
+    m_charge.set(0);
     const bool reusable = m_phase == ExchangePhase::Complete && !m_broken && m_parser->head().keepAlive
         && !m_parser->head().endsWithConnection && m_exchanges < MaxExchanges;
     if (!reusable) {
@@ -244,6 +274,7 @@
     m_changeEvent = nullptr;
     m_broken = true;
     m_phase = ExchangePhase::Failed;
+    m_charge.set(0);
     m_connectTimer.cancel();
     ErrorCode ignored; // The socket is abandoned even if closing it fails.
     m_socket.close(ignored);
@@ -263,6 +294,11 @@
     m_broken = true;
     ErrorCode ignored; // The socket is abandoned even if closing it fails.
     m_socket.close(ignored);
+    if (id == ErrorId::MessageTooLarge) {
+        releaseMemory(m_input);
+        releaseMemory(m_parser->body());
+        m_charge.set(0);
+    }
     notifyWaiter();
 }
 
@@ -273,8 +309,9 @@
     }
 }
 
-BackendConnectionPool::BackendConnectionPool(ConnectionPoolLimits limits)
+BackendConnectionPool::BackendConnectionPool(ConnectionPoolLimits limits, BufferBudget *budget)
     : m_limits(limits)
+    , m_budget(budget)
 {
 }
 
@@ -293,7 +330,7 @@
     BackendConnection::Pointer connection = takeIdle(replica, endpoint, reuse, now, request);
     if (!connection) {
         ++m_opened;
-        connection = new BackendConnection(executor, replica, endpoint, now, m_observeHead);
+        connection = new BackendConnection(executor, replica, endpoint, now, m_observeHead, m_budget);
     }
     if (!request.empty()) {
         connection->recordRequest(request, now);
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -9,9 +9,14 @@
 using ErrorCode = boost::system::error_code;
 using asio::ip::tcp;
 
-CallerConnection::CallerConnection(tcp::socket socket)
+CallerConnection::CallerConnection(tcp::socket socket, BufferBudget *budget)
     : m_socket(std::move(socket))
     , m_changeEvent(m_socket.get_executor())
+    , m_charge(budget, "caller", [this] {
+        close();
+        releaseMemory(m_input);
+        releaseMemory(m_output);
+    })
 {
     ErrorCode code;
     const auto remote = m_socket.remote_endpoint(code);
@@ -54,6 +59,7 @@
             self->m_closed = true;
         } else {
             self->m_input.append(self->m_chunk.data(), size);
+            self->chargeBuffers();
             self->resume();
         }
         self->m_changeEvent.notify();
@@ -62,16 +68,27 @@
 
 void CallerConnection::send(std::string bytes)
 {
+    if (m_closed) {
+        return;
+    }
     m_output += bytes;
     if (m_sending.empty()) {
         write();
     }
+    chargeBuffers();
+}
+
+void CallerConnection::chargeBuffers()
+{
+    if (!m_closed) {
+        m_charge.set(m_input.capacity() + m_output.capacity() + m_sending.capacity());
+    }
 }
 
 void CallerConnection::write()
 {
     m_sending = std::move(m_output);
-    m_output.clear();
+    releaseMemory(m_output);
     if (m_sending.empty()) {
         if (m_shutdownRequested) {
             ErrorCode ignored; // Fails if the caller has already closed the connection.
@@ -80,12 +97,14 @@
         return;
     }
     asio::async_write(m_socket, asio::buffer(m_sending), [self = Pointer(this)](const ErrorCode &code, std::size_t) {
-        self->m_sending.clear();
+        releaseMemory(self->m_sending);
         if (code) {
             self->m_closed = true;
-            self->m_output.clear();
+            releaseMemory(self->m_output);
+            self->m_charge.set(0);
         } else {
             self->write();
+            self->chargeBuffers();
         }
         self->m_changeEvent.notify();
     });
@@ -114,6 +133,7 @@
     }
     m_closed = true;
     m_socket.close(ignored);
+    m_charge.set(0);
     m_changeEvent.notify();
 }
 
--- a/src/transport/event_splitter.cpp
+++ b/src/transport/event_splitter.cpp
@@ -67,7 +67,7 @@
 
 void EventSplitter::startStream()
 {
-    m_incompleteEvent.clear();
+    std::string().swap(m_incompleteEvent); // Frees the memory, which clear() does not.
     m_fault.reset();
     m_resumed = m_count > 0 || m_lastId;
     m_resuming = m_resumed;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "apricotarch/base/buffer_budget.h"
 #include "apricotarch/transport/message_parser.h"
 
 namespace apricotarch
@@ -30,7 +31,12 @@
 
 constexpr auto UseAwaitable = asio::use_awaitable;
 constexpr std::size_t ReadChunkBytes = 16 * 1024;
-constexpr std::size_t MaxBodyBytes = 64 * 1024 * 1024;
+/// Longer than any object or page of rows of the store.
+constexpr std::size_t MaxBodyBytes = 16UL * 1024 * 1024;
+
+/// A peer that sends more informational heads than this before its answer is cut off.
+constexpr std::size_t MaxInformationalAnswers = 16;
+
 constexpr std::size_t MaxIdleConnectionsPerPeer = 64;
 
 /// Largest number of bytes that wait for the rest of a head or of a chunk's header.
@@ -85,9 +91,13 @@
 
 struct HttpConnection::Impl
 {
-    Impl(const asio::any_io_executor &executor, Endpoint address)
+    Impl(const asio::any_io_executor &executor, Endpoint address, BufferBudget *budget)
         : stream(executor)
         , endpoint(std::move(address))
+        , charge(budget, "http", [this] {
+            beast::error_code ignored; // The answer is abandoned even if closing the socket fails.
+            stream.socket().close(ignored);
+        })
     {
     }
 
@@ -109,7 +119,12 @@
     /// Reads the head of the final answer. Informational (1xx) answers precede it.
     asio::awaitable<Result<void>> readHead(bool isHeadRequest)
     {
+        std::size_t heads = 0;
         do {
+            if (heads++ > MaxInformationalAnswers) {
+                co_return fail(
+                    ErrorId::MalformedMessage, "http.read_head", endpoint.text(), "too many informational answers", Delivery::MaybeSent);
+            }
             parser.emplace(isHeadRequest);
             Result<void> result = parseInput("http.read_head");
             while (result && !parser->isHeadComplete()) {
@@ -147,6 +162,7 @@
             return fail(ErrorId::MalformedMessage, step, endpoint.text(), used.error().detail, Delivery::MaybeSent);
         }
         input.erase(0, *used);
+        charge.set(input.capacity() + parser->body().capacity());
         if (parser->body().size() > MaxBodyBytes || input.size() > MaxUnparsedBytes + ReadChunkBytes) {
             return fail(ErrorId::MalformedMessage, step, endpoint.text(), "the answer is too large", Delivery::MaybeSent);
         }
@@ -156,12 +172,14 @@
     /// Records the end of an answer. Bytes after it belong to no request.
     void finishAnswer()
     {
+        charge.set(0);
         reusable = parser->head().keepAlive && input.empty();
     }
 
     beast::tcp_stream stream;
     Endpoint endpoint;
     std::array<char, ReadChunkBytes> chunk{};
+    BufferCharge charge;
     std::string input; ///< Received bytes that have not been parsed.
     std::optional<AnswerParser> parser;
     bool reusable = true;
@@ -174,9 +192,9 @@
 
 HttpConnection::~HttpConnection() = default;
 
-asio::awaitable<Result<std::unique_ptr<HttpConnection>>> HttpConnection::connect(Endpoint endpoint, Duration timeout)
+asio::awaitable<Result<std::unique_ptr<HttpConnection>>> HttpConnection::connect(Endpoint endpoint, Duration timeout, BufferBudget *budget)
 {
-    auto impl = std::make_unique<Impl>(co_await asio::this_coro::executor, endpoint);
+    auto impl = std::make_unique<Impl>(co_await asio::this_coro::executor, endpoint, budget);
     beast::error_code code;
     const tcp::endpoint address(asio::ip::make_address(endpoint.host, code), endpoint.port);
     if (!code) {
@@ -270,13 +288,15 @@
         return idle[&executor.context()];
     }
 
+    BufferBudget *budget = nullptr;
     std::mutex mutex;
     std::map<asio::execution_context *, IdleConnections> idle;
 };
 
-HttpClient::HttpClient()
+HttpClient::HttpClient(BufferBudget *budget)
     : m_impl(std::make_unique<Impl>())
 {
+    m_impl->budget = budget;
 }
 
 HttpClient::~HttpClient() = default;
@@ -291,7 +311,7 @@
             co_return connection;
         }
     }
-    co_return co_await HttpConnection::connect(endpoint, timeout);
+    co_return co_await HttpConnection::connect(endpoint, timeout, m_impl->budget);
 }
 
 asio::awaitable<void> HttpClient::release(Endpoint endpoint, std::unique_ptr<HttpConnection> connection)
