--- a/include/apricotarch/base/buffer_budget.h
+++ b/include/apricotarch/base/buffer_budget.h
@@ -2,8 +2,8 @@
 
 /**
  * @file
- * Limit of the bytes that a process keeps of what other processes send and have not read yet. Each message has a limit of its own; the sum
- * over all connections is what a process runs out of memory by.
+ * A limit on the memory that all connections of a process use for buffers together. Each message has a limit of its own, but many large
+ * messages at the same time would exceed the memory of the process.
  */
 
 #include <cstddef>
