--- /dev/null
+++ b/review/8/case.cpp
@@ -0,0 +1,124 @@
+// Case 8: a request that crashes replicas is not recognized when it comes again with another query.
+
+#include "../standins-2.h"
+
+using namespace standin;
+
+namespace
+{
+
+constexpr std::int64_t ContactMs = 3000;
+constexpr std::size_t CrashesBeforeBound = 3;
+constexpr std::size_t AllowedRequests = 3;
+
+const std::string CrashingPath = "/week/77";
+
+/// Sends one request. @return the status of the answer, 0 if its channel ended
+int ask(const Address &node, int number, const std::string &target)
+{
+    const auto channel = Channel::connect(node);
+    if (!channel
+        || !channel->send("GET " + target + " HTTP/1.1\r\nHost: mill.example\r\nX-Request-Id: 4c41d07be2a3" + std::to_string(1000 + number)
+            + "\r\nX-Deadline-Ms: 1500\r\n\r\n")) {
+        return 0;
+    }
+    std::string input;
+    const std::int64_t until = nowMs() + 1500;
+    bool isOpen = true;
+    while (nowMs() < until && isOpen && input.find("\r\n\r\n") == std::string::npos) {
+        isOpen = channel->receive(input, 100);
+    }
+    return input.size() < 12 ? 0 : std::atoi(input.c_str() + 9);
+}
+
+} // namespace
+
+int main(int, char **arguments)
+{
+    signal(SIGPIPE, SIG_IGN);
+    startOfRun();
+    const char *trouble = std::getenv("TROUBLE");
+    const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
+    const bool hasSameQuery = std::getenv("SAME_QUERY") != nullptr;
+    const std::string folder = temporaryFolder();
+    Record record(arguments[1]);
+    Store store("127.0.0.1");
+    store.put("op",
+        "config",
+        "{\"version\":7,\"routes\":[{\"name\":\"week-view\",\"host\":\"mill.example\",\"prefix\":\"/week/\",\"kind\":\"safe\",\"timeoutMs\":800,"
+        "\"targetLatencyMs\":300,\"priority\":2,\"service\":\"visit-desk\",\"maxAttempts\":2,\"sticky\":false,\"resumable\":false}],"
+        "\"services\":[{\"name\":\"visit-desk\",\"healthPath\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}],"
+        "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
+    Runs runs;
+    std::vector<std::unique_ptr<Desk>> desks;
+    for (int index = 1; index <= 3; ++index) {
+        const std::string number = std::to_string(index);
+        desks.push_back(std::make_unique<Desk>(store, record, runs, "i-desk" + number, "127.0.1." + number));
+        desks.back()->crashingPath = hasTrouble ? CrashingPath : "";
+    }
+    std::atomic<bool> done = false;
+    std::thread beats([&] {
+        while (!done) {
+            for (const auto &desk : desks) {
+                desk->report();
+            }
+            for (int step = 0; step < 12 && !done; ++step) {
+                sleepMs(100);
+            }
+        }
+    });
+    Node::peerPort() = freePort("127.0.2.1");
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (int index = 1; index <= 2; ++index) {
+        const std::string ip = "127.0.2." + std::to_string(index);
+        nodes.push_back(std::make_unique<Node>(folder, "front-kigali-a-" + std::to_string(index), ip, "kigali-a"));
+        nodes.back()->prepare({"127.0.2.1:8144", "127.0.2.2:8144"}, store.address());
+        nodes.back()->start();
+    }
+    int result = 2;
+    if (nodes[0]->awaitReady(15'000) && nodes[1]->awaitReady(15'000)) {
+        sleepMs(4000);
+        int number = 0;
+        int sound = 0;
+        int soundServed = 0;
+        for (int round = 0; round < 12; ++round) {
+            for (int request = 0; request < 10; ++request) {
+                const bool isCrashing = request == 0;
+                const int own = ++number;
+                const std::string query = hasSameQuery ? "" : "?_=" + std::to_string(1'796'590'000'000 + nowMs());
+                const std::string target = (isCrashing ? CrashingPath : "/week/" + std::to_string(100 + request)) + query;
+                const int status = ask(nodes[static_cast<std::size_t>(round + request) % 2]->callers(), own, target);
+                record.line("request 4c41d07be2a3" + std::to_string(1000 + own) + ' ' + target + " gets " + std::to_string(status));
+                sound += isCrashing ? 0 : 1;
+                soundServed += !isCrashing && status == 200 ? 1 : 0;
+                sleepMs(400);
+            }
+        }
+        std::vector<std::int64_t> crashes;
+        for (const Run &run : runs.all()) {
+            if (run.crashed) {
+                crashes.push_back(run.end);
+            }
+        }
+        std::sort(crashes.begin(), crashes.end());
+        std::set<std::string> late;
+        for (const Arrival &arrival : runs.arrivals()) {
+            const bool isCrashing = arrival.target.substr(0, arrival.target.find('?')) == CrashingPath;
+            if (isCrashing && crashes.size() >= CrashesBeforeBound && arrival.at > crashes[CrashesBeforeBound - 1] + ContactMs) {
+                late.insert(arrival.request);
+            }
+        }
+        record.line(std::to_string(crashes.size()) + " crashes; the request came again and reached replicas " + std::to_string(late.size())
+            + " times later than " + std::to_string(ContactMs) + " ms after the third; " + std::to_string(soundServed) + " of "
+            + std::to_string(sound) + " other requests were served");
+        result = late.size() > AllowedRequests ? 1 : 0;
+    } else {
+        record.line("the nodes are not ready");
+    }
+    done = true;
+    beats.join();
+    nodes.clear();
+    desks.clear();
+    record.line("result " + std::to_string(result) + ", logs in " + folder);
+    return result;
+}
