--- a/review/standins-2.h
+++ b/review/standins-2.h
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -517,7 +518,8 @@
 
     static std::string encode(const std::string &table, const std::string &key, const Row &row)
     {
-        std::string text = "{\"table\":\"" + table + "\",\"part\":\"\",\"key\":\"" + key + "\",\"rowVersion\":" + std::to_string(row.version);
+        std::string text =
+            "{\"table\":\"" + table + "\",\"part\":\"\",\"key\":\"" + key + "\",\"rowVersion\":" + std::to_string(row.version);
         return text + (row.removed ? ",\"removed\":true}" : ",\"value\":\"" + row.value + "\"}");
     }
 
@@ -710,9 +712,9 @@
 };
 
 /**
- * A model engine (PROTOCOL.md, "Replicas", "Prefill and decode" and "Service discovery"), at the stage prefill or decode. The id of an event
- * is the number of tokens up to its end, so the ids of a stream increase ("Requests": "a series of events with increasing ids"). A run with
- * Last-Event-Id goes on after that event.
+ * A model engine (PROTOCOL.md, "Replicas", "Prefill and decode" and "Service discovery"), at the stage prefill or decode. The id of an
+ * event is the number of tokens up to its end, so the ids of a stream increase ("Requests": "a series of events with increasing ids"). A
+ * run with Last-Event-Id goes on after that event.
  */
 class Engine
 {
@@ -763,8 +765,8 @@
         m_store.put("servers",
             m_id,
             "{\"service\":\"" + m_service + "\",\"address\":\"" + m_server.address().text()
-                + "\",\"zone\":\"kigali-a\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\"" + m_stage
-                + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"born\":" + std::to_string(m_born)
+                + "\",\"zone\":\"kigali-a\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\""
+                + m_stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"born\":" + std::to_string(m_born)
                 + ",\"sequence\":" + std::to_string(++m_beats) + '}');
     }
 
@@ -822,7 +824,8 @@
                 "Content-Type: application/json\r\n",
                 "{\"stage\":\"" + m_stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":"
                     + (m_changesUntil != 0 ? "true" : "false") + ",\"sequence\":" + std::to_string(m_orders)
-                    + ",\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":491264,\"kvHandles\":0,\"born\":" + std::to_string(m_born) + '}'));
+                    + ",\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":491264,\"kvHandles\":0,\"born\":" + std::to_string(m_born)
+                    + '}'));
         }
         if (request.path() == "/v1/order") {
             return channel.send(answer(order(request.body), "", ""));
@@ -947,18 +950,26 @@
 class Desk
 {
 public:
-    Desk(Store &store, Record &record, Runs &runs, std::string id, const std::string &ip)
+    Desk(Store &store, Record &record, Runs &runs, std::string id, const std::string &ip, std::string service = "visit-desk")
         : m_store(store)
         , m_record(record)
         , m_runs(runs)
         , m_id(std::move(id))
+        , m_service(std::move(service))
         , m_born(unixMs())
         , m_server(ip, [this](Channel &channel, std::string &input, const std::atomic<bool> &stop) {
             const int process = m_process;
             const auto isOver = [this, process, &stop] {
                 return stop || process != m_process || m_down;
             };
+            std::optional<int> generation; ///< When the channel was last used; none for a new channel.
             while (const std::optional<Message> request = readRequest(channel, input, stop)) {
+                if (generation && *generation != m_idleGeneration) {
+                    m_record.line(m_id + " has dropped an idle channel and resets the request on it");
+                    channel.reset();
+                    return;
+                }
+                generation = m_idleGeneration;
                 if (isOver() || !handle(channel, *request, isOver)) {
                     break;
                 }
@@ -991,9 +1002,45 @@
         }
         m_store.put("servers",
             m_id,
-            "{\"service\":\"visit-desk\",\"address\":\"" + m_server.address().text()
-                + "\",\"zone\":\"kigali-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,\"born\":"
-                + std::to_string(m_born) + ",\"sequence\":" + std::to_string(++m_beats) + '}');
+            "{\"service\":\"" + m_service + "\",\"address\":\"" + m_server.address().text()
+                + "\",\"zone\":\"kigali-a\",\"version\":\"v1\",\"slots\":6,\"state\":\""
+                + std::string(m_leaves && nowMs() >= m_leavesSince + 600 ? "draining" : "ready")
+                + "\",\"coldRemainingMs\":0,\"born\":" + std::to_string(m_born) + ",\"sequence\":" + std::to_string(++m_beats) + '}');
+    }
+
+    /// Drops all idle channels without notice: what is sent next on them is reset and does not run.
+    void dropIdleChannels()
+    {
+        ++m_idleGeneration;
+    }
+
+    /// The replica begins to leave: it says so in all its answers, and in the store with its next regular report but for the first half of
+    /// heartbeatMs. It goes on serving.
+    void leave()
+    {
+        m_record.line(m_id + " leaves");
+        m_leavesSince = nowMs();
+        m_leaves = true;
+    }
+
+    /// The process ends, and a new one starts under the id that the replica had.
+    void startAgain(std::int64_t pauseMs)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_record.line(m_id + " ends");
+            m_down = true;
+            m_server.stopListening();
+            m_restartsAt = nowMs() + pauseMs;
+        }
+        sleepMs(pauseMs + 10);
+        m_leaves = false;
+        report();
+    }
+
+    [[nodiscard]] const std::string &id() const
+    {
+        return m_id;
     }
 
 private:
@@ -1015,8 +1062,9 @@
             crash();
         }
         const bool complete = !isOver()
-            && channel.send(answer(
-                200, echo + "X-Response-Seal: 3e1b.07\r\nContent-Type: text/plain\r\n", "answer to " + request.header("X-Request-Id")));
+            && channel.send(answer(200,
+                echo + "X-Response-Seal: 3e1b.07\r\nContent-Type: text/plain\r\n" + (m_leaves ? "Server-Leaving: 1\r\n" : ""),
+                "answer to " + request.header("X-Request-Id")));
         m_runs.end(run, complete, !complete && isOver());
         return complete;
     }
@@ -1036,6 +1084,10 @@
     Record &m_record;
     Runs &m_runs;
     std::string m_id;
+    std::string m_service;
+    std::atomic<bool> m_leaves = false;
+    std::atomic<std::int64_t> m_leavesSince = 0;
+    std::atomic<int> m_idleGeneration = 0;
     std::mutex m_mutex;
     int m_beats = 0;
     std::int64_t m_born;
@@ -1088,6 +1140,7 @@
     {
         m_process = fork();
         if (m_process == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // The node ends with this program, also if that is killed.
             setenv("APRICOTARCH_CONFIG", settingsFile().c_str(), 1);
             const int log = open((m_folder + '/' + m_name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, STDOUT_FILENO);
