--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,4 +1,4 @@
-// Case 7: a part of prompts that crashes engines is never found if ids of parts are longer than 64 bits.
+// Case 7: after a planned restart of a service's replicas under their ids, nodes refuse all requests for that service for good.
 
 #include "../standins-2.h"
 
@@ -7,47 +7,86 @@
 namespace
 {
 
-constexpr std::int64_t ContactMs = 3000;
-constexpr std::size_t CrashesBeforeBound = 5;
-constexpr std::size_t AllowedRequests = 3;
+constexpr std::int64_t DrainMs = 3000;
+constexpr std::int64_t HeartbeatMs = 1200;
 
-/// Ids of parts as digests of their content: 128 bits in hexadecimal.
-const std::string CrashingPart = "9f86d081884c7d659a2feaa0c55ad015";
-const std::string SharedPart = "60303ae22b998861bce3b28f33eec1be";
+/// How long after the last planned work the steady state is observed, and from when on: contactMs is 4,000.
+constexpr std::int64_t SettlingMs = 6000;
+constexpr std::int64_t ObservationMs = 8000;
 
-/// An id with as many digits as SharedPart.
-std::string ownPart(int number)
+std::string route(const char *name, const char *prefix, const char *service)
 {
-    char id[33];
-    std::snprintf(id, sizeof id, "ca978112ca1bbdcafac231b3%08x", number);
-    return id;
+    return std::string("{\"name\":\"") + name + "\",\"host\":\"mill.example\",\"prefix\":\"" + prefix
+        + "\",\"kind\":\"safe\",\"timeoutMs\":800,\"targetLatencyMs\":300,\"priority\":2,\"service\":\"" + service
+        + "\",\"maxAttempts\":2,\"sticky\":false,\"resumable\":false}";
 }
 
-/// Sends one request, of which no two are alike. @return the status of the answer, 0 if its channel ended
-int ask(const Address &node, int number, bool hasCrashingPart)
+std::string configuration(int version, const std::string &routes)
 {
-    const auto channel = Channel::connect(node);
-    if (!channel) {
-        return 0;
+    return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes
+        + "],\"services\":[{\"name\":\"week-desk\",\"healthPath\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false},"
+          "{\"name\":\"visit-desk\",\"healthPath\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}],"
+          "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+}
+
+/// Numbers of requests on one route.
+struct Count
+{
+    int sent = 0;
+    int served = 0;
+};
+
+/// Callers that send requests on two routes to two nodes in turn.
+class Traffic
+{
+public:
+    Traffic(Record &record, const std::vector<std::unique_ptr<Node>> &nodes)
+        : m_record(record)
+        , m_nodes(nodes)
+    {
     }
-    const std::string body = "complaint " + std::to_string(number);
-    std::ostringstream request;
-    request << "POST /plan/1/" << number << " HTTP/1.1\r\nHost: mill.example\r\nX-Request-Id: 4c41d07be2a3" << 1000 + number
-            << "\r\nX-Model: m\r\nX-Token-Counts: 17020,20\r\nX-Prompt-Prefix: " << (hasCrashingPart ? CrashingPart : SharedPart)
-            << ":6300," << SharedPart.substr(1) << "0:7000," << ownPart(number) << ":3720\r\nX-Deadline-Ms: 8000\r\nContent-Length: " << body.size()
-            << "\r\n\r\n"
-            << body;
-    if (!channel->send(request.str())) {
-        return 0;
+
+    /// Sends requests for a time. @return the counts of the first route and of the one that was added later
+    std::pair<Count, Count> run(std::int64_t ms)
+    {
+        std::pair<Count, Count> counts;
+        for (const std::int64_t until = nowMs() + ms; nowMs() < until;) {
+            const Address &node = m_nodes[static_cast<std::size_t>(m_number / 2) % m_nodes.size()]->callers();
+            for (const bool isFirst : {true, false}) {
+                const int status = ask(node, ++m_number, isFirst ? "/week/7" : "/visits/7");
+                Count &count = isFirst ? counts.first : counts.second;
+                ++count.sent;
+                count.served += status == 200 ? 1 : 0;
+            }
+            sleepMs(40);
+        }
+        m_record.line("first route: " + std::to_string(counts.first.served) + " of " + std::to_string(counts.first.sent)
+            + " served; route added later: " + std::to_string(counts.second.served) + " of " + std::to_string(counts.second.sent));
+        return counts;
     }
-    std::string input;
-    const std::int64_t until = nowMs() + 8000;
-    bool isOpen = true;
-    while (nowMs() < until && isOpen && !input.ends_with("0\r\n\r\n") && !input.ends_with("\"}")) {
-        isOpen = channel->receive(input, 100);
+
+private:
+    static int ask(const Address &node, int number, const std::string &target)
+    {
+        const auto channel = Channel::connect(node);
+        if (!channel
+            || !channel->send("GET " + target + " HTTP/1.1\r\nHost: mill.example\r\nX-Request-Id: 4c41d07be2a3"
+                + std::to_string(10'000 + number) + "\r\nX-Deadline-Ms: 1500\r\n\r\n")) {
+            return 0;
+        }
+        std::string input;
+        const std::int64_t until = nowMs() + 1500;
+        bool isOpen = true;
+        while (nowMs() < until && isOpen && input.find("\r\n\r\n") == std::string::npos) {
+            isOpen = channel->receive(input, 100);
+        }
+        return input.size() < 12 ? 0 : std::atoi(input.c_str() + 9);
     }
-    return input.size() < 12 ? 0 : std::atoi(input.c_str() + 9);
-}
+
+    Record &m_record;
+    const std::vector<std::unique_ptr<Node>> &m_nodes;
+    int m_number = 0;
+};
 
 } // namespace
 
@@ -60,27 +99,20 @@
     const std::string folder = temporaryFolder();
     Record record(arguments[1]);
     Store store("127.0.0.1");
-    store.put("op",
-        "config",
-        "{\"version\":7,\"routes\":[{\"name\":\"furrow-plan\",\"host\":\"mill.example\",\"prefix\":\"/plan/\",\"kind\":\"streaming\","
-        "\"timeoutMs\":8000,\"targetLatencyMs\":600,\"priority\":2,\"service\":\"dressing-desk\",\"maxAttempts\":2,\"sticky\":true,"
-        "\"resumable\":true,\"targetGapMs\":200}],\"services\":[{\"name\":\"dressing-desk\",\"healthPath\":\"/healthz\","
-        "\"maxConnections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kvTokens\":491264,\"tokenKvBytes\":327680,"
-        "\"linkMbps\":3200000.0,\"kvHoldS\":5.0,\"switchS\":3.0,\"models\":[{\"name\":\"m\"}]}}],"
-        "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
+    const std::string firstRoute = route("week-view", "/week/", "week-desk");
+    store.put("op", "config", configuration(7, firstRoute));
     Runs runs;
-    std::vector<std::unique_ptr<Engine>> engines;
-    for (int index = 0; index < 12; ++index) {
-        const std::string number = std::to_string(index + 1);
-        engines.push_back(std::make_unique<Engine>(
-            store, record, runs, "dressing-desk", "i-engine" + number, "127.0.1." + number, index < 4 ? "decode" : "prefill"));
-        engines.back()->behaviour.crashingPart = hasTrouble ? CrashingPart : "";
+    std::vector<std::unique_ptr<Desk>> desks;
+    for (int index = 1; index <= 6; ++index) {
+        const std::string number = std::to_string(index);
+        desks.push_back(
+            std::make_unique<Desk>(store, record, runs, "i-desk" + number, "127.0.1." + number, index <= 3 ? "week-desk" : "visit-desk"));
     }
     std::atomic<bool> done = false;
     std::thread beats([&] {
         while (!done) {
-            for (const auto &engine : engines) {
-                engine->report();
+            for (const auto &desk : desks) {
+                desk->report();
             }
             for (int step = 0; step < 12 && !done; ++step) {
                 sleepMs(100);
@@ -97,48 +129,35 @@
     }
     int result = 2;
     if (nodes[0]->awaitReady(15'000) && nodes[1]->awaitReady(15'000)) {
-        sleepMs(6000);
-        std::atomic<int> number = 0;
-        std::vector<std::thread> callers;
-        const std::int64_t until = nowMs() + 40'000;
-        while (nowMs() < until) {
-            for (int request = 0; request < 3; ++request) {
-                callers.emplace_back([&, hasCrashingPart = request == 0] {
-                    const int own = ++number;
-                    const int status = ask(nodes[static_cast<std::size_t>(own) % 2]->callers(), own, hasCrashingPart);
-                    record.line("request 4c41d07be2a3" + std::to_string(1000 + own) + (hasCrashingPart ? " with the part" : "") + " gets "
-                        + std::to_string(status));
-                });
-                sleepMs(330);
-            }
+        Traffic traffic(record, nodes);
+        sleepMs(4000);
+        store.put("op", "config", configuration(8, firstRoute + ',' + route("visits", "/visits/", "visit-desk")));
+        record.line("a route to visit-desk has been added");
+        sleepMs(1000);
+        traffic.run(4000);
+        for (const auto &desk : desks) {
+            desk->dropIdleChannels(); // Ordinary, and done without the disruption, too.
         }
-        for (std::thread &caller : callers) {
-            caller.join();
-        }
-        std::vector<std::int64_t> crashes;
-        for (const Run &run : runs.all()) {
-            if (run.crashed) {
-                crashes.push_back(run.end);
-            }
-        }
-        std::sort(crashes.begin(), crashes.end());
-        std::set<std::string> late;
-        const std::string start = CrashingPart + ':';
-        for (const Arrival &arrival : runs.arrivals()) {
-            if (crashes.size() >= CrashesBeforeBound && arrival.at > crashes[CrashesBeforeBound - 1] + ContactMs && arrival.prompt.starts_with(start)) {
-                late.insert(arrival.request);
-            }
+        traffic.run(3000);
+        for (std::size_t index = 3; hasTrouble && index < desks.size(); ++index) {
+            desks[index]->leave();
+            traffic.run(HeartbeatMs + DrainMs + 800);
+            desks[index]->startAgain(1500);
+            record.line(desks[index]->id() + " has started again");
+            traffic.run(4000);
         }
-        record.line(std::to_string(crashes.size()) + " runs ended by a crash; " + std::to_string(late.size())
-            + " requests with the part reached engines later than " + std::to_string(ContactMs) + " ms after the fifth crash");
-        result = late.size() > AllowedRequests ? 1 : 0;
+        traffic.run(SettlingMs);
+        record.line("steady state:");
+        const auto [first, later] = traffic.run(ObservationMs);
+        const bool isServedLess = later.sent >= 20 && 4 * later.served * first.sent < first.served * later.sent;
+        result = isServedLess ? 1 : 0;
     } else {
         record.line("the nodes are not ready");
     }
     done = true;
     beats.join();
     nodes.clear();
-    engines.clear();
+    desks.clear();
     record.line("result " + std::to_string(result) + ", logs in " + folder);
     return result;
 }
