--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -44,7 +44,8 @@
     Store store("127.0.0.1");
     store.put("op",
         "config",
-        "{\"version\":7,\"routes\":[{\"name\":\"visit-book\",\"host\":\"mill.example\",\"prefix\":\"/book/\",\"kind\":\"unsafe\",\"timeoutMs\":800,"
+        "{\"version\":7,\"routes\":[{\"name\":\"visit-book\",\"host\":\"mill.example\",\"prefix\":\"/book/"
+        "\",\"kind\":\"unsafe\",\"timeoutMs\":800,"
         "\"targetLatencyMs\":300,\"priority\":2,\"service\":\"visit-desk\",\"maxAttempts\":1,\"sticky\":false,\"resumable\":false}],"
         "\"services\":[{\"name\":\"visit-desk\",\"healthPath\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}],"
         "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
@@ -81,7 +82,8 @@
         const auto send = [&](std::size_t node) {
             const int own = ++number;
             const int status = book(nodes[node]->callers(), own);
-            record.line("request 4c41d07be2a3" + std::to_string(1000 + own) + " at " + nodes[node]->name() + " gets " + std::to_string(status));
+            record.line(
+                "request 4c41d07be2a3" + std::to_string(1000 + own) + " at " + nodes[node]->name() + " gets " + std::to_string(status));
         };
         for (std::size_t first = 0; first < 3; ++first) {
             send(first);
