--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -39,9 +39,9 @@
     startOfRun();
     const char *trouble = std::getenv("TROUBLE");
     const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
-    const std::string folder = temporaryFolder();
+    const TemporaryFolder folder;
     Record record(arguments[1]);
-    Store store("127.0.0.1");
+    Store store(loopback(1));
     store.put("op",
         "config",
         "{\"version\":7,\"routes\":[{\"name\":\"visit-book\",\"host\":\"mill.example\",\"prefix\":\"/book/"
@@ -53,7 +53,7 @@
     std::vector<std::unique_ptr<Desk>> desks;
     for (int index = 1; index <= 3; ++index) {
         const std::string number = std::to_string(index);
-        desks.push_back(std::make_unique<Desk>(store, record, runs, "i-desk" + number, "127.0.1." + number));
+        desks.push_back(std::make_unique<Desk>(store, record, runs, "i-desk" + number, loopback(10 + index)));
         desks.back()->crashingCaller = CrashingCaller;
     }
     std::atomic<bool> done = false;
@@ -67,12 +67,12 @@
             }
         }
     });
-    Node::peerPort() = freePort("127.0.2.1");
+    Node::peerPort() = freePort(loopback(FirstNodeHost + 1));
     std::vector<std::unique_ptr<Node>> nodes;
     for (int index = 1; index <= 3; ++index) {
-        const std::string ip = "127.0.2." + std::to_string(index);
-        nodes.push_back(std::make_unique<Node>(folder, "front-kigali-a-" + std::to_string(index), ip, "kigali-a"));
-        nodes.back()->prepare({"127.0.2.1:8144", "127.0.2.2:8144", "127.0.2.3:8144"}, store.address());
+        const std::string ip = loopback(FirstNodeHost + index);
+        nodes.push_back(std::make_unique<Node>(folder.path(), "front-kigali-a-" + std::to_string(index), ip, "kigali-a"));
+        nodes.back()->prepare({loopback(FirstNodeHost + 1) + ":8144", loopback(FirstNodeHost + 2) + ":8144"}, store.address());
         nodes.back()->start();
     }
     int result = 2;
@@ -127,6 +127,6 @@
     beats.join();
     nodes.clear();
     desks.clear();
-    record.line("result " + std::to_string(result) + ", logs in " + folder);
+    record.line("result " + std::to_string(result));
     return result;
 }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -58,7 +58,7 @@
                 ++count.sent;
                 count.served += status == 200 ? 1 : 0;
             }
-            sleepMs(40);
+            sleepMs(10);
         }
         m_record.line("first route: " + std::to_string(counts.first.served) + " of " + std::to_string(counts.first.sent)
             + " served; route added later: " + std::to_string(counts.second.served) + " of " + std::to_string(counts.second.sent));
@@ -96,9 +96,9 @@
     startOfRun();
     const char *trouble = std::getenv("TROUBLE");
     const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
-    const std::string folder = temporaryFolder();
+    const TemporaryFolder folder;
     Record record(arguments[1]);
-    Store store("127.0.0.1");
+    Store store(loopback(1));
     const std::string firstRoute = route("week-view", "/week/", "week-desk");
     store.put("op", "config", configuration(7, firstRoute));
     Runs runs;
@@ -106,7 +106,7 @@
     for (int index = 1; index <= 6; ++index) {
         const std::string number = std::to_string(index);
         desks.push_back(
-            std::make_unique<Desk>(store, record, runs, "i-desk" + number, "127.0.1." + number, index <= 3 ? "week-desk" : "visit-desk"));
+            std::make_unique<Desk>(store, record, runs, "i-desk" + number, loopback(10 + index), index <= 3 ? "week-desk" : "visit-desk"));
     }
     std::atomic<bool> done = false;
     std::thread beats([&] {
@@ -119,12 +119,12 @@
             }
         }
     });
-    Node::peerPort() = freePort("127.0.2.1");
+    Node::peerPort() = freePort(loopback(FirstNodeHost + 1));
     std::vector<std::unique_ptr<Node>> nodes;
     for (int index = 1; index <= 2; ++index) {
-        const std::string ip = "127.0.2." + std::to_string(index);
-        nodes.push_back(std::make_unique<Node>(folder, "front-kigali-a-" + std::to_string(index), ip, "kigali-a"));
-        nodes.back()->prepare({"127.0.2.1:8144", "127.0.2.2:8144"}, store.address());
+        const std::string ip = loopback(FirstNodeHost + index);
+        nodes.push_back(std::make_unique<Node>(folder.path(), "front-kigali-a-" + std::to_string(index), ip, "kigali-a"));
+        nodes.back()->prepare({loopback(FirstNodeHost + 1) + ":8144", loopback(FirstNodeHost + 2) + ":8144"}, store.address());
         nodes.back()->start();
     }
     int result = 2;
@@ -139,11 +139,17 @@
             desk->dropIdleChannels(); // Ordinary, and done without the disruption, too.
         }
         traffic.run(3000);
-        for (std::size_t index = 3; hasTrouble && index < desks.size(); ++index) {
-            desks[index]->leave();
+        for (std::size_t index = 3; index < desks.size(); ++index) {
+            if (hasTrouble) {
+                desks[index]->leave();
+            }
             traffic.run(HeartbeatMs + DrainMs + 800);
-            desks[index]->startAgain(1500);
-            record.line(desks[index]->id() + " has started again");
+            if (hasTrouble) {
+                desks[index]->startAgain(1500);
+                record.line(desks[index]->id() + " has started again");
+            } else {
+                sleepMs(1500);
+            }
             traffic.run(4000);
         }
         traffic.run(SettlingMs);
@@ -158,6 +164,6 @@
     beats.join();
     nodes.clear();
     desks.clear();
-    record.line("result " + std::to_string(result) + ", logs in " + folder);
+    record.line("result " + std::to_string(result));
     return result;
 }
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -35,9 +35,9 @@
     startOfRun();
     const char *trouble = std::getenv("TROUBLE");
     const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
-    const std::string folder = temporaryFolder();
+    const TemporaryFolder folder;
     Record record(arguments[1]);
-    Store store("127.0.0.1");
+    Store store(loopback(1));
     store.put("op",
         "config",
         "{\"version\":7,\"routes\":[{\"name\":\"week-view\",\"host\":\"mill.example\",\"prefix\":\"/week/"
@@ -46,7 +46,7 @@
         "\"services\":[{\"name\":\"visit-desk\",\"healthPath\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}],"
         "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
     Runs runs;
-    Desk desk(store, record, runs, "i-desk1", "127.0.1.1");
+    Desk desk(store, record, runs, "i-desk1", loopback(10));
     std::atomic<bool> hasLeft = false;
     std::mutex mutex;
     std::atomic<bool> done = false;
@@ -63,12 +63,12 @@
             }
         }
     });
-    Node::peerPort() = freePort("127.0.2.1");
+    Node::peerPort() = freePort(loopback(FirstNodeHost + 1));
     std::vector<std::unique_ptr<Node>> nodes;
     for (int index = 1; index <= 4; ++index) {
-        const std::string ip = "127.0.2." + std::to_string(index);
-        nodes.push_back(std::make_unique<Node>(folder, "front-kigali-a-" + std::to_string(index), ip, "kigali-a"));
-        nodes.back()->prepare({"127.0.2.1:8144", "127.0.2.2:8144", "127.0.2.3:8144"}, store.address());
+        const std::string ip = loopback(FirstNodeHost + index);
+        nodes.push_back(std::make_unique<Node>(folder.path(), "front-kigali-a-" + std::to_string(index), ip, "kigali-a"));
+        nodes.back()->prepare({loopback(FirstNodeHost + 1) + ":8144", loopback(FirstNodeHost + 2) + ":8144"}, store.address());
         nodes.back()->start();
     }
     int result = 2;
@@ -109,6 +109,6 @@
     done = true;
     beats.join();
     nodes.clear();
-    record.line("result " + std::to_string(result) + ", logs in " + folder);
+    record.line("result " + std::to_string(result));
     return result;
 }
