Log and count the request rates that servers say they take

The statement is decoded, kept with the server and logged when it changes. Requests are sent as before.

--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -63,6 +63,9 @@
     /// Applies what an answer of a backend server states about the server itself. Called for each answer, whatever it answers.
     void recordServerStatements(const BackendConnection &connection, const AnswerHead &head);
 
+    /// Applies what an answer states of the request rate that its server takes from all nodes together.
+    void recordRequestRate(const ReplicaId &server, const BackendAnswer &answer, const StatementOrigin &origin);
+
     [[nodiscard]] bool isShuttingDown() const noexcept
     {
         return shutdown.has_value();
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -23,6 +23,7 @@
 #include "apricotarch/base/clock.h"
 #include "apricotarch/base/endpoint.h"
 #include "apricotarch/base/ids.h"
+#include "apricotarch/state/request_rate_statement.h"
 
 namespace apricotarch
 {
@@ -181,6 +182,7 @@
     TimePoint declineConnectedAt; ///< When the connection was opened on which declinesUntil was learned.
     std::optional<TimePoint> shutdownStatedAt; ///< When an answer of the current process first stated that it is shutting down.
     TimePoint declinesUntil; ///< The server wants no requests from this node until this time. Other nodes may still send some.
+    RequestRateStatement rateStatement;
     TimePoint lastAnswerByteAt; ///< Time at which this node last received a byte of an answer from it.
     int failures = 0; ///< Number of consecutive failures.
     double speedFactor = 1; ///< Factor on the usual duration of the server's work, more for slower servers; 1 if it is not in use.
@@ -269,6 +271,15 @@
      */
     bool recordDecline(const ReplicaId &id, const StatementOrigin &origin, TimePoint until);
 
+    /**
+     * Records what an answer states of the request rate that the server takes from all nodes together.
+     * @param origin see recordShutdownStatement()
+     * @param perSecond requests per second; empty if the answer states no limit, which ends a limit that was stated before its request was
+     * sent
+     * @return whether the limit has changed
+     */
+    bool recordRequestRate(const ReplicaId &id, const StatementOrigin &origin, std::optional<double> perSecond, TimePoint now);
+
     /// Marks a server as removed after its entry was removed.
     void remove(const ReplicaId &id, TimePoint now);
 
--- a/include/apricotarch/transport/backend_protocol_adapter.h
+++ b/include/apricotarch/transport/backend_protocol_adapter.h
@@ -87,6 +87,8 @@
     bool serverIsShuttingDown = false; ///< The server states that its process is shutting down.
     std::optional<std::chrono::milliseconds> serverDeclinesFor; ///< How long the server wants no requests from this node.
     std::string invalidRetryAfter; ///< Value of a Retry-After header that cannot be used, for the log; otherwise empty.
+    std::optional<double> requestRateLimit; ///< Requests per second that the server takes from all nodes together; empty for no limit.
+    std::string invalidRequestRate; ///< Value of a limit of the request rate that cannot be used, for the log; otherwise empty.
     std::optional<std::uint64_t> contentLength;
 
     [[nodiscard]] bool success() const noexcept
--- a/src/app/front_state.cpp
+++ b/src/app/front_state.cpp
@@ -1,10 +1,20 @@
 #include "apricotarch/app/front_state.h"
 
+#include <sstream>
+
 #include "apricotarch/base/log.h"
 
 namespace apricotarch
 {
 
+namespace
+{
+
+constexpr int FirstFinalStatus = 200;
+constexpr int StatusMisdirected = 421; ///< Sent by another server than the intended one.
+
+} // namespace
+
 void FrontState::recordServerStatements(const BackendConnection &connection, const AnswerHead &head)
 {
     const BackendAnswer answer = protocolAdapter.decodeAnswer(head.status, head.reason, head.headers);
@@ -29,6 +39,33 @@
         metrics.increment(CounterFamily::Servers, "retry_after_ignored");
         LogEvent("server.retry_after_ignored").field("server", server).field("request", request).field("value", answer.invalidRetryAfter);
     }
+    if (answer.status >= FirstFinalStatus && answer.status != StatusMisdirected) {
+        recordRequestRate(server, answer, origin);
+    }
+}
+
+void FrontState::recordRequestRate(const ReplicaId &server, const BackendAnswer &answer, const StatementOrigin &origin)
+{
+    const RequestId request = answer.request.value_or(RequestId());
+    if (!answer.invalidRequestRate.empty()) {
+        metrics.increment(CounterFamily::Servers, "rate_limit_ignored");
+        LogEvent("server.rate_limit_ignored").field("server", server).field("request", request).field("value", answer.invalidRequestRate);
+        return;
+    }
+    if (!answer.requestRateLimit && !answer.request) {
+        return;
+    }
+    if (!backends.recordRequestRate(server, origin, answer.requestRateLimit, clock.now())) {
+        return;
+    }
+    metrics.increment(CounterFamily::Servers, answer.requestRateLimit ? "rate_limited" : "rate_limit_ended");
+    LogEvent event(answer.requestRateLimit ? "server.rate_limited" : "server.rate_limit_ended");
+    event.field("server", server).field("request", request).field("source", "answer").field("status", answer.status);
+    if (answer.requestRateLimit) {
+        std::ostringstream rate;
+        rate << *answer.requestRateLimit;
+        event.field("per_second", rate.str());
+    }
 }
 
 } // namespace apricotarch
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -118,6 +118,9 @@
     if (!previousProcessEndedAt || declineConnectedAt <= *previousProcessEndedAt) {
         declinesUntil = now;
     }
+    if (!previousProcessEndedAt || rateStatement.connectedAt <= *previousProcessEndedAt) {
+        rateStatement = RequestRateStatement();
+    }
 }
 
 void Backend::updateLeavingTime(bool newProcess, TimePoint now)
@@ -195,6 +198,22 @@
     return true;
 }
 
+bool BackendTable::recordRequestRate(const ReplicaId &id, const StatementOrigin &origin, std::optional<double> perSecond, TimePoint now)
+{
+    const BackendPointer backend = findProcess(id, origin);
+    if (!backend) {
+        return false;
+    }
+    RequestRateStatement &known = backend->rateStatement;
+    // An answer without a limit may have been sent before the limit began and have been delayed.
+    if (!perSecond && (!known.perSecond || origin.requestSentAt <= known.statedAt)) {
+        return false;
+    }
+    const bool changed = known.perSecond != perSecond;
+    known = {perSecond, now, origin.connectedAt};
+    return changed;
+}
+
 BackendPointer BackendTable::findProcess(const ReplicaId &id, const StatementOrigin &origin) const
 {
     BackendPointer backend = find(id);
--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -184,6 +184,23 @@
     BOOST_TEST(answer.forwardedHeaders.value("X-Weight-Versions") == "3");
 }
 
+BOOST_AUTO_TEST_CASE(in_any_answer_is_how_many_requests_per_second_it_takes)
+{
+    const platform::ProtocolAdapter protocolAdapter;
+    for (const int status : {200, 500, 503}) {
+        const BackendAnswer answer = protocolAdapter.decodeAnswer(status, "", {{"Server-Limit", "3.3"}});
+        BOOST_TEST(answer.requestRateLimit.value_or(-1) == 3.3);
+        BOOST_TEST(answer.forwardedHeaders.value("Server-Limit").empty());
+    }
+    BOOST_TEST(protocolAdapter.decodeAnswer(200, "", {{"Server-Limit", "0"}}).requestRateLimit.value_or(-1) == 0);
+    BOOST_TEST(!protocolAdapter.decodeAnswer(200, "", {}).requestRateLimit.has_value());
+    for (const char *value : {"-1", "many", "3.3 ", "inf", "nan", "1e400"}) {
+        const BackendAnswer answer = protocolAdapter.decodeAnswer(200, "", {{"Server-Limit", value}});
+        BOOST_TEST(!answer.requestRateLimit.has_value());
+        BOOST_TEST(answer.invalidRequestRate == value);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(with_503_is_how_long_it_declines)
 {
     const platform::ProtocolAdapter protocolAdapter;
--- a/tests/src/unit-server_statements.cpp
+++ b/tests/src/unit-server_statements.cpp
@@ -116,4 +116,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_limit_of_the_request_rate)
+
+BOOST_FIXTURE_TEST_CASE(applies_until_an_answer_to_a_later_request_states_none, RestartedServer)
+{
+    BOOST_TEST(table.recordRequestRate(Id, {Start, Start}, 3.3, Start + 1s));
+    BOOST_TEST(!table.recordRequestRate(Id, {Start, Start + 500ms}, std::nullopt, Start + 1200ms)); // It was sent before the limit began.
+    BOOST_TEST(table.find(Id)->rateStatement.perSecond.value_or(0) == 3.3);
+    BOOST_TEST(table.recordRequestRate(Id, {Start, Start + 1500ms}, std::nullopt, Start + 2s));
+    BOOST_TEST(!table.find(Id)->rateStatement.perSecond.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_with_the_process_that_stated_it, RestartedServer)
+{
+    BOOST_TEST(table.recordRequestRate(Id, {Start, Start}, 3.3, Start + 500ms));
+    table.find(Id)->recordConnectionLoss(Start + 1s);
+    readNewEntry();
+    BOOST_TEST(!table.find(Id)->rateStatement.perSecond.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(of_the_new_process_stays_if_its_entry_is_read_later, RestartedServer)
+{
+    table.find(Id)->recordConnectionLoss(Start + 1s);
+    BOOST_TEST(table.recordRequestRate(Id, {Start + 1500ms, Start + 1600ms}, 2.0, Start + 1700ms));
+    readNewEntry();
+    BOOST_TEST(table.find(Id)->rateStatement.perSecond.value_or(0) == 2.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
