--- a/tests/fakes/test_node.h
+++ b/tests/fakes/test_node.h
@@ -72,8 +72,14 @@
 public:
     /// @param maxFullMeshNodes with 0, the node uses a partial view
     explicit TestNode(std::size_t maxFullMeshNodes = DefaultMaxFullMeshNodes)
+        : TestNode(settingsWith(maxFullMeshNodes))
+    {
+    }
+
+    /// @param settings settings of the node, without limits of retries
+    explicit TestNode(FrontSettings settings)
         : m_acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0})
-        , state(loop.get_executor(), settingsWith(maxFullMeshNodes), m_clock, m_protocolAdapter, 1)
+        , state(loop.get_executor(), std::move(settings), m_clock, m_protocolAdapter, 1)
     {
         state.settings.retryLimits = {0.2, 100, 10s};
         state.retryBudget = SharedRetryBudget(state.settings.retryLimits);
