Send a server no more requests than the rate that it says it takes

Cause: no code read the limit, so each node chose servers as before. Class: a statement of a server that only holds for all nodes together; nothing that a node decides from its own requests can keep it.

Each node now has a share of the rate, a token bucket that follows from the nodes that it knows. Nodes tell each other the limits in heartbeats. A server without a request left in the share is no candidate; if there is no other, the request is refused at once with the time until the next one as Retry-After.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -109,6 +109,17 @@
   2: required i32 remainingMs
 }
 
+/// What a node has learned from the answers of a server of the request rate that it takes from all nodes together.
+struct RateStatement {
+  1: required string replica
+  /// Start of the server's process, as in its entry.
+  2: required i64 startedAt
+  /// Time since the answer arrived.
+  3: required i32 ageMs
+  /// Requests per 1,000 seconds; missing if the server states no limit any more.
+  4: optional i32 perThousandSeconds
+}
+
 /// The nodes that collect usage counts. Of two lists of one coordinator, the one with the higher version is newer.
 struct UsageCollectors {
   1: required string coordinator
@@ -175,6 +186,8 @@
   27: optional i64 unixTimeMs
   /// The nodes that collect usage counts as far as the sender knows.
   28: optional UsageCollectors usageCollectors
+  /// Limits of servers' request rates, as far as the sender knows.
+  29: optional list<RateStatement> rateStatements
 }
 
 /// Update of the sender's load at one engine, sent immediately when the load changes considerably. It is sent in one UDP datagram.
--- a/include/apricotarch/coordination/peer_table.h
+++ b/include/apricotarch/coordination/peer_table.h
@@ -139,6 +139,9 @@
      */
     [[nodiscard]] std::size_t countBudgetNodes(TimePoint now) const;
 
+    /// Returns the addresses of the known nodes but this one that share a common budget, see countBudgetNodes().
+    [[nodiscard]] std::vector<Endpoint> budgetAddresses(TimePoint now) const;
+
     /**
      * Returns the addresses to which the next heartbeat is sent.
      * @param now current time
@@ -213,6 +216,9 @@
     /// Returns whether there was a sign of life of @p peer, but no recent one.
     [[nodiscard]] bool isKnownDead(const PeerEntry &peer, TimePoint now) const;
 
+    /// Returns whether @p peer shares common budgets, see countBudgetNodes().
+    [[nodiscard]] bool sharesBudget(const PeerEntry &peer, TimePoint now) const;
+
     /// Returns whether @p peer is in the availability zone of this node.
     [[nodiscard]] bool isInOwnZone(const PeerEntry &peer) const;
 
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -23,6 +23,7 @@
 #include "apricotarch/base/clock.h"
 #include "apricotarch/base/endpoint.h"
 #include "apricotarch/base/ids.h"
+#include "apricotarch/state/request_rate_share.h"
 #include "apricotarch/state/request_rate_statement.h"
 
 namespace apricotarch
@@ -141,6 +142,15 @@
     std::size_t m_next = 0;
 };
 
+/// What a node has learned from the answers of a server of the request rate that it takes from all nodes together.
+struct ReportedRequestRate
+{
+    ReplicaId server;
+    std::int64_t startedAt = 0; ///< BackendRecord::startedAt of the process that has stated it.
+    std::optional<double> perSecond; ///< See RequestRateStatement.
+    std::chrono::milliseconds age{0}; ///< Time since the answer arrived.
+};
+
 /// Where an answer comes from that states something about its server. The server may have started again under the same id since.
 struct StatementOrigin
 {
@@ -183,6 +193,7 @@
     std::optional<TimePoint> shutdownStatedAt; ///< When an answer of the current process first stated that it is shutting down.
     TimePoint declinesUntil; ///< The server wants no requests from this node until this time. Other nodes may still send some.
     RequestRateStatement rateStatement;
+    RequestRateShare rateShare; ///< Requests that this node may send to it; follows from rateStatement.
     TimePoint lastAnswerByteAt; ///< Time at which this node last received a byte of an answer from it.
     int failures = 0; ///< Number of consecutive failures.
     double speedFactor = 1; ///< Factor on the usual duration of the server's work, more for slower servers; 1 if it is not in use.
@@ -280,6 +291,9 @@
      */
     bool recordRequestRate(const ReplicaId &id, const StatementOrigin &origin, std::optional<double> perSecond, TimePoint now);
 
+    /// Records what another node has learned from answers of a server's current process. @return whether the limit has changed
+    bool mergeRequestRate(const ReportedRequestRate &report, TimePoint now);
+
     /// Marks a server as removed after its entry was removed.
     void remove(const ReplicaId &id, TimePoint now);
 
@@ -298,7 +312,7 @@
     [[nodiscard]] BackendPointer find(const ReplicaId &id) const;
 
     /**
-     * Returns the servers of a service that may receive new requests. Recently removed ones, and those whose answers have recently
+     * Returns the servers of a service that may receive new requests now. Recently removed ones, and those whose answers have recently
      * announced their shutdown, are returned only if there is no other. The same applies to servers that are being taken back; a stream
      * may take longer than the notice that the platform gives.
      */
@@ -308,7 +322,7 @@
     [[nodiscard]] bool isUsable(const BackendPointer &server, TimePoint now) const;
 
     /// Returns the time until one of the service's servers takes requests from this node again; 0 if one takes them now or none is known
-    /// to do so later.
+    /// to do so later. If other nodes have the shares of a server's request rate, it is the time until one of them may send a request.
     [[nodiscard]] Duration remainingDeclineTime(const ServiceId &service, TimePoint now) const;
 
     /// Returns the ready servers of a service, including those whose stage is being changed.
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -144,6 +144,7 @@
     std::vector<PeerSighting> sightings; ///< Other nodes of the sender's zone; empty while all nodes send heartbeats to each other.
     std::optional<UnixTime> uncorrectedTime; ///< The sender's uncorrected estimate of true time, see TrueTime; only if it counts usage.
     std::optional<UsageCollectors> usageCollectors; ///< As far as the sender knows; only if it counts usage.
+    std::vector<ReportedRequestRate> requestRates; ///< Limits of servers' request rates, and those that have ended, as far as it knows.
 };
 
 /// Update of the sender's load at one backend server, sent between heartbeats when the load changes considerably.
--- a/include/apricotarch/state/request_rate_statement.h
+++ b/include/apricotarch/state/request_rate_statement.h
@@ -16,7 +16,7 @@
 struct RequestRateStatement
 {
     std::optional<double> perSecond; ///< Requests per second from all nodes together, 0 or more; empty if there is no limit.
-    TimePoint statedAt; ///< When the answer arrived, at this node or at the one that reported it.
+    std::optional<TimePoint> statedAt; ///< When the answer arrived, at this node or at the one that reported it; empty if there was none.
     TimePoint connectedAt; ///< When the connection was opened on which it was learned.
 };
 
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include "apricotarch/app/engine_speeds.h"
+#include "apricotarch/app/request_rate_limits.h"
 #include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/protocol/front_codec.h"
@@ -125,6 +126,7 @@
         logChangesOfView();
         updateRemoteLoad();
         updateSpeedFactors(m_state);
+        updateRateShares(m_state);
         if (m_state.asksStewards() && m_state.clock.now() - m_loadsRepeatedAt >= ReportedLoads::RepeatInterval) {
             m_loadsRepeatedAt = m_state.clock.now();
             m_groupLoads.repeatReports();
@@ -195,6 +197,7 @@
     heartbeat.sightings = m_state.peers.sightings(now, m_state.random);
     heartbeat.crashRecords = m_state.peers.usesPartialView() ? m_state.crashTracker.records(now) : m_state.crashTracker.localRecords(now);
     heartbeat.partEvidence = m_state.partQuarantine.nextReports(now);
+    heartbeat.requestRates = reportRequestRates(m_state.backends, now);
     if (m_usage != nullptr) {
         m_usage->addTo(heartbeat);
     }
@@ -340,7 +343,8 @@
     recordStageChanges(heartbeat.changingEngines);
     const bool recordsChanged = !heartbeat.crashRecords.empty() && m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now);
     const bool evidenceChanged = m_state.partQuarantine.merge(heartbeat.partEvidence, m_state.peers.usesPartialView(), now);
-    if (recordsChanged || evidenceChanged) {
+    const bool ratesChanged = mergeRequestRates(m_state, heartbeat.requestRates);
+    if (recordsChanged || evidenceChanged || ratesChanged) {
         requestUrgentHeartbeat();
     }
     if (heartbeat.serversVersion != StorePosition()) {
--- a/src/app/front_state.cpp
+++ b/src/app/front_state.cpp
@@ -1,7 +1,6 @@
 #include "apricotarch/app/front_state.h"
 
-#include <sstream>
-
+#include "apricotarch/app/request_rate_limits.h"
 #include "apricotarch/base/log.h"
 
 namespace apricotarch
@@ -58,14 +57,8 @@
     if (!backends.recordRequestRate(server, origin, answer.requestRateLimit, clock.now())) {
         return;
     }
-    metrics.increment(CounterFamily::Servers, answer.requestRateLimit ? "rate_limited" : "rate_limit_ended");
-    LogEvent event(answer.requestRateLimit ? "server.rate_limited" : "server.rate_limit_ended");
-    event.field("server", server).field("request", request).field("source", "answer").field("status", answer.status);
-    if (answer.requestRateLimit) {
-        std::ostringstream rate;
-        rate << *answer.requestRateLimit;
-        event.field("per_second", rate.str());
-    }
+    applyRateStatement(*this, *backends.find(server), "answer", request);
+    notifyUrgentChange();
 }
 
 } // namespace apricotarch
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -7,6 +7,7 @@
 
 #include "active_attempt.h"
 #include "apricotarch/app/engine_speeds.h"
+#include "apricotarch/app/request_rate_limits.h"
 #include "apricotarch/base/log.h"
 
 // Attempts: sending a request to a backend server and waiting for its answer.
@@ -66,6 +67,7 @@
             Delivery::NotSent};
         co_return attempt;
     }
+    takeFromRateShare(m_state, *backend);
     const std::vector<PromptPart> prompt = m_request.prompt ? m_request.prompt->parts : std::vector<PromptPart>();
     auto newAttempt = std::make_unique<ActiveAttempt>(m_state, backend, tokensToPrefill, prompt);
     ActiveAttempt &activeAttempt = *newAttempt;
--- a/src/app/request_forwarder_sending.cpp
+++ b/src/app/request_forwarder_sending.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include "active_attempt.h"
+#include "apricotarch/app/request_rate_limits.h"
 #include "apricotarch/base/background_task.h"
 #include "apricotarch/base/log.h"
 #include "apricotarch/transport/backend_call.h"
@@ -208,8 +209,12 @@
 void RequestForwarder::releaseKv()
 {
     const BackendPointer engine = m_state.backends.find(m_prefillEngine);
-    if (engine && engine->declines(m_state.clock.now())) {
-        LogEvent("kv.not_released").field("request", m_request.id).field("server", m_prefillEngine).field("reason", "server_declines");
+    const bool declines = engine && engine->declines(m_state.clock.now());
+    if (engine && (declines || !takeFromRateShare(m_state, *engine))) {
+        LogEvent("kv.not_released")
+            .field("request", m_request.id)
+            .field("server", m_prefillEngine)
+            .field("reason", declines ? "server_declines" : "server_rate_limited");
         return; // The memory is freed when it expires.
     }
     // If the call fails, the memory is freed when it expires.
--- a/src/app/stage_controller.cpp
+++ b/src/app/stage_controller.cpp
@@ -198,7 +198,8 @@
 
 bool StageController::takesOrders(const Backend &engine) const
 {
-    return engine.record.state == BackendState::Ready && !engine.statesShutdown() && !engine.declines(m_state.clock.now());
+    return engine.record.state == BackendState::Ready && !engine.statesShutdown() && !engine.declines(m_state.clock.now())
+        && !engine.rateShare.isLimited();
 }
 
 void StageController::cancelChange(Backend &engine)
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -247,13 +247,29 @@
     }));
 }
 
+bool PeerTable::sharesBudget(const PeerEntry &peer, TimePoint now) const
+{
+    const bool recent = hasRecentHeartbeat(peer, m_timeouts.removalTimeout, now);
+    return usesPartialView() || recent || now - peer.addedAt <= m_timeouts.loadTimeout;
+}
+
+std::vector<Endpoint> PeerTable::budgetAddresses(TimePoint now) const
+{
+    std::vector<Endpoint> addresses;
+    for (const auto &[address, peer] : m_peers) {
+        if (sharesBudget(peer, now)) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 std::size_t PeerTable::countBudgetNodes(TimePoint now) const
 {
     std::size_t otherNodes = 0;
     std::size_t knownElsewhere = 0;
     for (const auto &[address, peer] : m_peers) {
-        const bool recent = hasRecentHeartbeat(peer, m_timeouts.removalTimeout, now);
-        otherNodes += usesPartialView() || recent || now - peer.addedAt <= m_timeouts.loadTimeout ? 1 : 0;
+        otherNodes += sharesBudget(peer, now) ? 1 : 0;
         if (hasRecentHeartbeat(peer, m_timeouts.loadTimeout, now)) {
             knownElsewhere = std::max(knownElsewhere, peer.heartbeat.knownNodes);
         }
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "apricotarch/protocol/request_rate_codec.h"
 #include "apricotarch/protocol/sighting_codec.h"
 #include "apricotarch/protocol/thrift_bytes.h"
 #include "apricotarch/protocol/usage_codec.h"
@@ -192,6 +193,7 @@
     heartbeat.sightings = decodeSightings(message.sightings);
     readPartEvidence(heartbeat, message);
     readSpeedSamples(heartbeat, message);
+    heartbeat.requestRates = requestRatesFromWire(message.rateStatements);
     for (const wire::CrashRecord &entry : message.crashRecords) {
         heartbeat.crashRecords.push_back({ContentHash(entry.contentHash), entry.crashes, std::chrono::milliseconds(entry.remainingMs)});
     }
@@ -240,6 +242,9 @@
     writeCrashRecords(message, heartbeat);
     writePartEvidence(message, heartbeat);
     writeSpeedSamples(message, heartbeat);
+    if (!heartbeat.requestRates.empty()) {
+        message.__set_rateStatements(requestRatesToWire(heartbeat.requestRates));
+    }
     writeStageData(message, heartbeat);
     writeAnnouncedPeers(message, heartbeat);
     if (heartbeat.uncorrectedTime) {
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds InitialAvoidance{200}; ///< Longer than a round trip and a reconnection.
 constexpr int MaxDoublings = 4; ///< Limits the time for which a server is avoided to 3.2 s.
+constexpr Duration MinRateReportInterval = std::chrono::seconds(1); ///< Statements of a server are passed on at least this far apart.
 constexpr std::chrono::seconds RemovedRetention{30}; ///< Longer than any answer that may still be in progress.
 
 /// Whether a server can execute a request as a whole. Prefill engines only prepare it for another engine.
@@ -206,7 +207,7 @@
     }
     RequestRateStatement &known = backend->rateStatement;
     // An answer without a limit may have been sent before the limit began and have been delayed.
-    if (!perSecond && (!known.perSecond || origin.requestSentAt <= known.statedAt)) {
+    if (!perSecond && (!known.perSecond || origin.requestSentAt <= *known.statedAt)) {
         return false;
     }
     const bool changed = known.perSecond != perSecond;
@@ -214,6 +215,23 @@
     return changed;
 }
 
+bool BackendTable::mergeRequestRate(const ReportedRequestRate &report, TimePoint now)
+{
+    const BackendPointer backend = find(report.server);
+    if (!backend || backend->record.startedAt != report.startedAt) {
+        return false;
+    }
+    RequestRateStatement &known = backend->rateStatement;
+    const TimePoint statedAt = now - report.age;
+    const bool changed = known.perSecond != report.perSecond;
+    // Each report adds the delay of its message to the time of the statement, so a slightly later time may be the same statement.
+    if (known.statedAt && statedAt <= *known.statedAt + (changed ? Duration::zero() : MinRateReportInterval)) {
+        return false;
+    }
+    known = {report.perSecond, statedAt, statedAt};
+    return changed;
+}
+
 BackendPointer BackendTable::findProcess(const ReplicaId &id, const StatementOrigin &origin) const
 {
     BackendPointer backend = find(id);
@@ -304,7 +322,7 @@
         return ready;
     }
     for (const BackendPointer &backend : found->second) {
-        if (backend->declines(now)) {
+        if (backend->declines(now) || !backend->rateShare.isAvailable(now)) {
             continue;
         }
         if (backend->record.state == BackendState::Ready && backend->stageChangeUntil <= now) {
@@ -342,7 +360,8 @@
     std::optional<TimePoint> earliest;
     for (const BackendPointer &backend : ready(service)) {
         if (executesRequests(backend) && !backend->statesShutdown()) {
-            earliest = std::min(earliest.value_or(TimePoint::max()), backend->declinesUntil);
+            const TimePoint usableAt = std::max(backend->declinesUntil, now + backend->rateShare.waitTime(now));
+            earliest = std::min(earliest.value_or(TimePoint::max()), usableAt);
         }
     }
     return earliest ? std::max<Duration>(*earliest - now, Duration::zero()) : Duration::zero();
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -423,6 +423,33 @@
     BOOST_TEST(other.state.backends.find(ReplicaId("i-1"))->load().promptTokens == 0);
 }
 
+BOOST_AUTO_TEST_CASE(tell_each_other_the_limits_of_servers_request_rates)
+{
+    Simulation simulation;
+    Node one(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    Node other(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
+    for (Node *node : {&one, &other}) {
+        node->tables.rows[ServersTable] = {row("i-1", "r", 2)};
+    }
+    simulation.advance(2s);
+    const ReplicaId id("i-1");
+    const BackendPointer server = other.state.backends.find(id);
+    BOOST_REQUIRE(one.state.backends.recordRequestRate(id, simulation.clock.now(), 2.0, simulation.clock.now()));
+    simulation.advance(500ms);
+    BOOST_TEST(server->rateStatement.perSecond.value_or(0) == 2.0);
+    BOOST_TEST(server->rateShare.isLimited());
+    BOOST_TEST(server->rateShare.allowance().perSecond == 1.0);
+    BOOST_TEST((one.state.backends.find(id)->rateShare.allowance() == server->rateShare.allowance()));
+
+    simulation.advance(2s);
+    BOOST_REQUIRE(one.state.backends.recordRequestRate(id, simulation.clock.now(), std::nullopt, simulation.clock.now()));
+    simulation.advance(500ms);
+    BOOST_TEST(!server->rateShare.isLimited());
+    simulation.advance(500ms); // Reports of the other node do not bring the limit back.
+    BOOST_TEST(!one.state.backends.find(id)->rateStatement.perSecond.has_value());
+    BOOST_TEST(!one.state.backends.find(id)->rateShare.isLimited());
+}
+
 BOOST_AUTO_TEST_CASE(of_which_one_has_a_partial_view_and_the_other_not_keep_hearing_each_other)
 {
     // While a large fleet starts, some nodes know it already and others do not. Load updates and heartbeats count in one sequence; with
--- a/tests/src/unit-front_codec.cpp
+++ b/tests/src/unit-front_codec.cpp
@@ -26,6 +26,7 @@
     heartbeat.prefillRates[ServiceId("engines")] = 1.5;
     heartbeat.crashRecords.push_back({ContentHash(5), 2, 400ms});
     heartbeat.speedSamples = {{0xFFFF'FFF0, 160}, {7, 60}};
+    heartbeat.requestRates = {{ReplicaId("i-1"), 5, 2.5, 10ms}};
     return heartbeat;
 }
 
@@ -116,6 +117,23 @@
     BOOST_TEST(most - none <= 64U); // See docs/CAPACITY.md.
 }
 
+BOOST_AUTO_TEST_CASE(keeps_the_limits_of_request_rates)
+{
+    FrontHeartbeat heartbeat = soundHeartbeat();
+    const std::size_t before = encodeFrontDatagram(heartbeat).size();
+    heartbeat.requestRates = {{ReplicaId("i-8b6f071f3d"), 1'789'498'504'097, 3.3, 1500ms}, {ReplicaId("i-2"), 7, std::nullopt, -5ms}};
+    const std::string bytes = encodeFrontDatagram(heartbeat);
+    BOOST_TEST(bytes.size() - before <= 64U); // See docs/CAPACITY.md.
+    const auto decoded = std::get<FrontHeartbeat>(*decodeFrontDatagram(bytes, "peer")).requestRates;
+    BOOST_REQUIRE(decoded.size() == 2U);
+    BOOST_TEST(decoded[0].server.value() == "i-8b6f071f3d");
+    BOOST_TEST(decoded[0].startedAt == 1'789'498'504'097);
+    BOOST_TEST(decoded[0].perSecond.value_or(0) == 3.3);
+    BOOST_TEST((decoded[0].age == 1500ms));
+    BOOST_TEST(!decoded[1].perSecond.has_value());
+    BOOST_TEST((decoded[1].age == 0ms)); // A statement of the future would outlast all later ones.
+}
+
 BOOST_AUTO_TEST_CASE(does_not_follow_nested_messages_without_end)
 {
     // An unknown field with a structure in a structure in a structure.
--- a/tests/src/unit-request_rate_limits.cpp
+++ b/tests/src/unit-request_rate_limits.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "apricotarch/app/request_rate_limits.h"
 #include "fakes/test_node.h"
 
 using namespace apricotarch;
@@ -165,7 +166,7 @@
 
 BOOST_AUTO_TEST_SUITE(a_server_that_limits_the_request_rate_of_all_nodes)
 
-BOOST_AUTO_TEST_CASE(gets_several_times_as_many_requests_from_nodes_that_know_its_limit, *boost::unit_test::label("known_red"))
+BOOST_AUTO_TEST_CASE(gets_several_times_as_many_requests_from_nodes_that_know_its_limit)
 {
     constexpr double Limit = 3.3;
     FleetWithLimitedServer fleet(7, Limit);
@@ -176,6 +177,65 @@
     BOOST_TEST(fleet.served() == fleet.sent());
 }
 
+BOOST_AUTO_TEST_CASE(gets_requests_at_any_rate_again_once_it_states_no_limit)
+{
+    TestNode node;
+    bool inNeed = true;
+    ScriptedServer &server = node.addServer("a", [&inNeed](const RequestHead &head, const std::string &) {
+        return inNeed ? limitedAnswer(head, 2) : ScriptedAnswer{fullResponse(head, "week")};
+    });
+    BOOST_TEST(node.sendRequest(viewRequest(1), "week").starts_with("HTTP/1.1 200"));
+    BOOST_TEST(node.sendRequest(viewRequest(2), "}").starts_with("HTTP/1.1 503"));
+    inNeed = false;
+    node.runFor(600ms); // One request of two per second.
+    for (int number = 3; number < 13; ++number) {
+        BOOST_TEST(node.sendRequest(viewRequest(number), "week").starts_with("HTTP/1.1 200"));
+        if (number == 3) {
+            updateRateShares(node.state);
+        }
+    }
+    BOOST_TEST(server.targets.size() == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(and_is_the_only_one_has_callers_refused_at_once_until_it_takes_the_next_request)
+{
+    TestNode node;
+    node.addServer("a", [](const RequestHead &head, const std::string &) {
+        return limitedAnswer(head, 0.5);
+    });
+    BOOST_TEST(node.sendRequest(viewRequest(1), "week").starts_with("HTTP/1.1 200"));
+    const auto startedAt = std::chrono::steady_clock::now();
+    const std::string answer = node.sendRequest(viewRequest(2), "}");
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 500ms));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(answer.find("servers_full") != std::string::npos);
+    const std::string name = "Retry-After: ";
+    const std::size_t at = answer.find(name);
+    BOOST_REQUIRE(at != std::string::npos);
+    const double delay = std::stod(answer.substr(at + name.size()));
+    BOOST_TEST(delay >= 1.5);
+    BOOST_TEST(delay <= 3.1);
+    BOOST_TEST(node.servers[0]->targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_more_prefills_than_that_either)
+{
+    TestNode node;
+    ScriptedServer &limited = node.addEngine("prefill", EngineStage::Prefill, [](const RequestHead &head, const std::string &) {
+        std::string answer = "HTTP/1.1 200 OK\r\nServer-Limit: 0.5\r\nX-Request-Id: ";
+        answer += head.headers.value("X-Request-Id");
+        return ScriptedAnswer{answer + "\r\nContent-Length: 40\r\n\r\n{\"kvHandle\":\"h\",\"tokens\":17000,\"ver\":1.0}"};
+    });
+    ScriptedServer &decode = node.addEngine("decode", EngineStage::Decode, [](const RequestHead &head, const std::string &) {
+        return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+    });
+    for (int prompt = 0; prompt < 4; ++prompt) {
+        BOOST_TEST(node.sendRequest(LongPromptRequest, "0\r\n\r\n").find(event(1)) != std::string::npos);
+    }
+    BOOST_TEST(limited.targets.size() == 1U);
+    BOOST_TEST(decode.targets.size() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
