Plan engine stages without the engines that limit their request rate

Cause: the stage planner counted them as engines that take any number of streams, so all others were sent to two engines. Class: the same statement of a server, ignored at a second place.

Engines with a limit are left out of the plan, like those that shut down. Evidence: the new test of stage_controller fails before (no order) and passes now.

--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -227,6 +227,12 @@
         return declinesUntil > now;
     }
 
+    /// Whether the server limits the request rate of all nodes together.
+    [[nodiscard]] bool limitsRequestRate() const noexcept
+    {
+        return rateStatement.perSecond.has_value();
+    }
+
     /// Updates leavesAt from the record, which has just been read. @param newProcess whether the record is the first of a process
     void updateLeavingTime(bool newProcess, TimePoint now);
 
--- a/src/app/stage_controller.cpp
+++ b/src/app/stage_controller.cpp
@@ -106,7 +106,7 @@
             }
             std::vector<BackendPointer> engines = m_state.backends.ready(serviceWeight.service);
             std::erase_if(engines, [](const BackendPointer &engine) {
-                return engine->statesShutdown() || engine->leavesAt;
+                return engine->statesShutdown() || engine->leavesAt || engine->limitsRequestRate();
             });
             std::size_t &previousCount = m_engineCounts[serviceWeight.service];
             if (std::exchange(previousCount, engines.size()) != engines.size()) {
@@ -199,7 +199,7 @@
 bool StageController::takesOrders(const Backend &engine) const
 {
     return engine.record.state == BackendState::Ready && !engine.statesShutdown() && !engine.declines(m_state.clock.now())
-        && !engine.rateShare.isLimited();
+        && !engine.limitsRequestRate();
 }
 
 void StageController::cancelChange(Backend &engine)
--- a/src/coordination/stage_planner.cpp
+++ b/src/coordination/stage_planner.cpp
@@ -79,8 +79,7 @@
     for (const BackendPointer &engine : engines) {
         const auto lastOrder = lastOrderAt.find(engine->record.id);
         const bool changeAllowed = lastOrder == lastOrderAt.end() || now - lastOrder->second >= settings.minChangeInterval;
-        const bool takesOrders = !engine->declines(now) && !engine->rateShare.isLimited();
-        if (engine->targetStage(now) != from || engine->record.stage != from || !changeAllowed || !takesOrders) {
+        if (engine->targetStage(now) != from || engine->record.stage != from || !changeAllowed || engine->declines(now)) {
             continue;
         }
         if (!selected || engine->load().requests < selected->load().requests) {
--- a/tests/src/unit-stage_controller.cpp
+++ b/tests/src/unit-stage_controller.cpp
@@ -155,6 +155,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(that_limits_its_request_rate_is_planned_for_as_if_it_took_any_number)
+{
+    // Two of four decode engines of twelve engines limited their rate; all streams went to the two others, which were overloaded.
+    ControllerFixture fixture([](const RequestHead &head, const std::string &) {
+        const std::string body = head.target == "/v1/report" ? R"({"stage":"prefill","busy":false,"sequence":0})" : "";
+        return ScriptedAnswer{"HTTP/1.1 " + std::string(body.empty() ? "202" : "200")
+            + " OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    });
+    const TimePoint now = fixture.state.clock.now();
+    for (const char *id : {"i-1", "i-2", "i-3"}) {
+        BackendRecord record = fixture.state.backends.find(ReplicaId(id))->record;
+        record.stage = EngineStage::Prefill;
+        fixture.state.backends.update(record, now);
+    }
+    fixture.state.backends.recordRequestRate(ReplicaId("i-4"), now, 2.0, now);
+    fixture.runFor(SomePolls);
+    BOOST_TEST(fixture.count("/v1/order") == 1);
+    BOOST_TEST(fixture.engines.back()->targets.empty());
+}
+
 BOOST_AUTO_TEST_CASE(that_declines_after_the_announcement_of_its_change_is_asked_for_its_report)
 {
     ControllerFixture fixture([](const RequestHead &head, const std::string &) {
