Plan engine stages for the demand that limited engines do not take

With limits at many engines, callers were refused although the others had room: with 8 of 12 engines limited (6 at prefill) the planner moved a third of the four others to prefill, since it took these for all there are. Cause: they were left out with the demand that they serve.

The requests that they take, times this node's averages per prompt, are subtracted from the demand. The unit test is new with the function.

--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -133,6 +133,7 @@
     std::function<asio::awaitable<void>(EngineGroupQuery)> refreshGroupLoad;
     std::vector<SentPrompt> sentPrompts; ///< Prompts sent since the last heartbeat, by engine.
     std::map<ServiceId, RateMeter> prefillRates; ///< Rate of prompt tokens sent to engines for prefill, by service.
+    std::map<ServiceId, RateMeter> promptRates; ///< Rate of prompts sent to engines, without repetitions, by service.
     std::map<ServiceId, RateMeter> eventRates; ///< Rate of events relayed to callers, by service.
     /// Engines that this node has ordered to change their stage, with the time until which they are unavailable.
     std::map<ReplicaId, TimePoint> changingEngines;
--- a/include/apricotarch/app/stage_controller.h
+++ b/include/apricotarch/app/stage_controller.h
@@ -67,6 +67,9 @@
     /// Estimates the demand on a service over all nodes; empty until load has lasted long enough.
     [[nodiscard]] StageDemand estimateDemand(const ServiceId &service, TimePoint now);
 
+    /// Averages over the prompts that this node has forwarded recently.
+    [[nodiscard]] PromptAverages averagePrompt(const ServiceId &service, TimePoint now);
+
     FrontState &m_state;
     DutyLease &m_lease;
     StageMessageCodec m_codec;
--- a/include/apricotarch/coordination/stage_planner.h
+++ b/include/apricotarch/coordination/stage_planner.h
@@ -24,6 +24,13 @@
     double streams = 0; ///< Number of streams being decoded.
 };
 
+/// Averages over the prompts of a service.
+struct PromptAverages
+{
+    double tokensToPrefill = 0;
+    double streamMs = 0; ///< Duration of the answer's stream, in milliseconds.
+};
+
 /// Parameters of the planning.
 struct StagePlannerSettings
 {
@@ -43,6 +50,15 @@
     EngineStage stage = EngineStage::Any;
 };
 
+/**
+ * Returns the demand that is left to the other engines if those that limit their request rate get as many requests as they take.
+ * @param demand demand on the service
+ * @param engines engines of the service; those without a limit are ignored
+ * @param averages averages over the service's prompts
+ */
+[[nodiscard]] StageDemand subtractLimitedEngines(
+    const StageDemand &demand, const std::vector<BackendPointer> &engines, const PromptAverages &averages);
+
 /**
  * Returns the number of engines that should be at the prefill stage.
  * @param engines number of the service's engines; with fewer than 2 the result is 0
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -86,6 +86,7 @@
         }
         backend->cache.recordPrompt(m_request.prompt->parts);
         m_state.prefillRates[m_serviceId].add(static_cast<double>(tokensToPrefill), now);
+        m_state.promptRates[m_serviceId].add(!options.prefillOnly && m_attemptsSent == 0 ? 1 : 0, now);
         m_state.sentPrompts.push_back({backend->record.id, m_request.prompt->parts});
     }
     if (!options.prefillOnly) {
--- a/src/app/stage_controller.cpp
+++ b/src/app/stage_controller.cpp
@@ -94,6 +94,16 @@
     return demand;
 }
 
+PromptAverages StageController::averagePrompt(const ServiceId &service, TimePoint now)
+{
+    const double promptsPerMs = m_state.promptRates[service].perMillisecond(now);
+    if (promptsPerMs <= 0) {
+        return {};
+    }
+    return {m_state.prefillRates[service].perMillisecond(now) / promptsPerMs,
+        m_state.eventRates[service].perMillisecond(now) * m_plannerSettings.eventIntervalMs / promptsPerMs};
+}
+
 std::optional<StageController::PendingChange> StageController::selectNextChange()
 {
     const TimePoint now = m_state.clock.now();
@@ -106,13 +116,17 @@
             }
             std::vector<BackendPointer> engines = m_state.backends.ready(serviceWeight.service);
             std::erase_if(engines, [](const BackendPointer &engine) {
-                return engine->statesShutdown() || engine->leavesAt || engine->limitsRequestRate();
+                return engine->statesShutdown() || engine->leavesAt;
+            });
+            const StageDemand demand =
+                subtractLimitedEngines(estimateDemand(serviceWeight.service, now), engines, averagePrompt(serviceWeight.service, now));
+            std::erase_if(engines, [](const BackendPointer &engine) {
+                return engine->limitsRequestRate();
             });
             std::size_t &previousCount = m_engineCounts[serviceWeight.service];
             if (std::exchange(previousCount, engines.size()) != engines.size()) {
                 continue; // Engines are being added or removed; the next poll counts them again.
             }
-            const StageDemand demand = estimateDemand(serviceWeight.service, now);
             if (demand.streams > 0 && now - m_lastChangeAt < ChangeInterval) {
                 continue;
             }
--- a/src/coordination/stage_planner.cpp
+++ b/src/coordination/stage_planner.cpp
@@ -31,6 +31,24 @@
     return 1 + engines / EnginesPerChange;
 }
 
+StageDemand subtractLimitedEngines(const StageDemand &demand, const std::vector<BackendPointer> &engines, const PromptAverages &averages)
+{
+    constexpr double MillisecondsPerSecond = 1000;
+    StageDemand left = demand;
+    for (const BackendPointer &engine : engines) {
+        const double requestsPerMs = engine->rateStatement.perSecond.value_or(0) / MillisecondsPerSecond;
+        if (engine->record.stage == EngineStage::Prefill) {
+            left.promptTokensPerMs -= requestsPerMs * averages.tokensToPrefill;
+        } else {
+            left.streams -= requestsPerMs * averages.streamMs;
+        }
+    }
+    left.promptTokensPerMs = std::max(left.promptTokensPerMs, 0.0);
+    // With fewer streams the demand would count as unknown.
+    left.streams = std::max(left.streams, std::min(demand.streams, MinStreams));
+    return left;
+}
+
 std::size_t planPrefillEngines(
     std::size_t engines, std::size_t currentPrefill, const StageDemand &demand, const StagePlannerSettings &settings)
 {
--- a/tests/src/unit-placement.cpp
+++ b/tests/src/unit-placement.cpp
@@ -341,6 +341,27 @@
     BOOST_TEST(planPrefillEngines(12, best - 1, demand, StagePlannerSettings()) == best - 1);
 }
 
+BOOST_AUTO_TEST_CASE(leave_the_engines_without_a_limit_the_demand_that_those_with_one_do_not_take)
+{
+    // Six of eight prefill engines and two of four decode engines had limits. The planner moved a third engine of the four others to the
+    // prefill stage, although the limited prefill engines had enough requests for it.
+    const StageDemand demand{160, 40};
+    const PromptAverages averages{4400, 1000};
+    std::vector<BackendPointer> limited;
+    for (int index = 0; index < 8; ++index) {
+        const BackendPointer engine(new Backend());
+        engine->record.stage = index < 6 ? EngineStage::Prefill : EngineStage::Decode;
+        engine->rateStatement.perSecond = 2.8;
+        limited.push_back(engine);
+    }
+    const StageDemand left = subtractLimitedEngines(demand, limited, averages);
+    BOOST_TEST(left.promptTokensPerMs == 160 - 6 * 2.8 * 4.4, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(left.streams == 40 - 2 * 2.8, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(planPrefillEngines(4, 2, left, StagePlannerSettings()) <= 2U);
+    limited.front()->rateStatement.perSecond = 1000;
+    BOOST_TEST(subtractLimitedEngines(demand, limited, averages).promptTokensPerMs == 0);
+}
+
 BOOST_AUTO_TEST_CASE(keep_a_minimum_of_engines_at_each_stage)
 {
     for (const StageDemand demand : {StageDemand{10'000, 4}, StageDemand{1, 10'000}}) {
