Count the change of an engine's stage in the time until a server takes requests

Callers refused while all other engines had no request left in their shares, and one changed its stage, were told no_server and to come back within a second. Cause: the time until a server takes requests took the changing engine for one that takes them now. The new test failed before: 0 s in place of 2 s.

--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -360,7 +360,7 @@
     std::optional<TimePoint> earliest;
     for (const BackendPointer &backend : ready(service)) {
         if (executesRequests(backend) && !backend->statesShutdown()) {
-            const TimePoint usableAt = std::max(backend->declinesUntil, now + backend->rateShare.waitTime(now));
+            const TimePoint usableAt = std::max({backend->declinesUntil, backend->stageChangeUntil, now + backend->rateShare.waitTime(now)});
             earliest = std::min(earliest.value_or(TimePoint::max()), usableAt);
         }
     }
--- a/tests/src/unit-backend_table.cpp
+++ b/tests/src/unit-backend_table.cpp
@@ -314,4 +314,23 @@
     BOOST_TEST(cache.cachedTokens({{9, 100}, {4, 100}}) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(the_time_until_a_server_takes_requests_includes_the_change_of_its_stage)
+{
+    // Callers that were refused while the only other decode engine changed its stage were told that there was no server at all.
+    BackendTable table;
+    for (const char *id : {"limited", "changing"}) {
+        BackendRecord record;
+        record.id = ReplicaId(id);
+        record.service = Service;
+        record.stage = EngineStage::Decode;
+        table.update(record, Start);
+    }
+    table.find(ReplicaId("limited"))->rateShare.setAllowance({0.25, 1, 0.25}, Start);
+    table.find(ReplicaId("changing"))->stageChangeUntil = Start + 2s;
+    BOOST_TEST(table.selectUsable(Service, Start).empty());
+    BOOST_TEST((table.remainingDeclineTime(Service, Start) == 2s));
+    table.find(ReplicaId("changing"))->stageChangeUntil = Start + 10s;
+    BOOST_TEST((table.remainingDeclineTime(Service, Start) == 4s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
