Log the software version of servers and the request that a caller resumes

The hypotheses of streams that change software versions differ in whether the node or the caller moved the stream, and whether the node had seen its first part. server.changed now has the version, request.done the version of the server and the request named in Resumes.

--- a/include/apricotarch/base/ids.h
+++ b/include/apricotarch/base/ids.h
@@ -14,6 +14,7 @@
 using NodeId = StrongId<struct NodeIdTag>; ///< The process of an entry VM, as named in its settings.
 using ReplicaId = StrongId<struct ReplicaIdTag>; ///< A backend server.
 using ServiceId = StrongId<struct ServiceIdTag>; ///< A named set of replicas.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>; ///< Version of a backend server's software; not of a model's weights.
 using CallerId = StrongId<struct CallerIdTag>; ///< A caller, the sender of requests.
 using ZoneId = StrongId<struct ZoneIdTag>; ///< An availability zone.
 using RequestId = StrongId<struct RequestIdTag>; ///< A request of a caller.
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -58,6 +58,7 @@
 {
     ReplicaId id;
     ServiceId service;
+    SoftwareVersion softwareVersion; ///< Of the server's program. Versions of one service may generate different continuations.
     Endpoint address;
     ZoneId zone;
     int slots = 1; ///< Number of requests processed at a time.
--- a/include/apricotarch/transport/backend_protocol_adapter.h
+++ b/include/apricotarch/transport/backend_protocol_adapter.h
@@ -41,6 +41,7 @@
     RequestId id; ///< Empty if the caller gave none.
     std::optional<std::chrono::milliseconds> timeLimit; ///< How long the caller waits, counted from when it sent the request.
     std::optional<std::uint64_t> lastEventId; ///< Id of the last event that the caller received; the stream resumes after it.
+    RequestId resumedRequest; ///< Request that brought the first event of the stream that this one resumes; empty if the caller names none.
     std::optional<PromptInfo> prompt; ///< Present if the request is for a language model.
     std::string key; ///< Bearer token by which the caller's customer is recognized; empty if there is none. Must not be logged.
     HttpHeaders forwardedHeaders; ///< Headers forwarded to the backend server unchanged.
--- a/src/app/active_attempt.h
+++ b/src/app/active_attempt.h
@@ -62,6 +62,7 @@
     std::optional<EventSplitter> silentStream; ///< Reader of the stream while the server is silent and another one is asked.
     bool silenceNoticed = false; ///< The server's silence has been logged and counted as a failure of the server.
     double expectedPrefillMs = 0; ///< Usual duration until the first event, as a sample of the engine's speed; 0 for no sample.
+    SoftwareVersion softwareVersion; ///< Of the server when the attempt began.
     std::uint32_t engineProcess = 0; ///< Process of the engine when the attempt began, see engineProcessHash().
     bool promptAnswered = false; ///< The answer has been recorded for the quarantine of parts.
     std::optional<TimePoint> firstEventAt; ///< When the first event of this attempt was received.
--- a/src/app/fleet_tables.cpp
+++ b/src/app/fleet_tables.cpp
@@ -264,6 +264,7 @@
         LogEvent("server.changed")
             .field("server", record.id)
             .field("service", record.service)
+            .field("version", record.softwareVersion)
             .field("state", static_cast<int>(record.state))
             .field("stage", static_cast<int>(record.stage))
             .field("row_version", version);
--- a/src/app/request_forwarder_attempt.cpp
+++ b/src/app/request_forwarder_attempt.cpp
@@ -56,6 +56,7 @@
 {
     const TimePoint now = m_state.clock.now();
     m_lastServer = backend->record.id;
+    m_lastVersion = backend->record.softwareVersion;
     m_serverProgressAt = now;
     m_triedServers.insert(backend->record.id);
     if (!m_state.backends.isUsable(backend, now)) {
@@ -74,6 +75,7 @@
     activeAttempt.prefillOnly = options.prefillOnly;
     activeAttempt.startedAt = now;
     activeAttempt.lastReceivedAt = now;
+    activeAttempt.softwareVersion = backend->record.softwareVersion;
     activeAttempt.engineProcess = engineProcessHash(backend->record);
     activeAttempt.expectedPrefillMs = expectedPrefillMs(*backend, options, tokensToPrefill);
     activeAttempt.retryAt = answerTimeout >= LongestRequestTime ? TimePoint::max() : now + answerTimeout;
--- a/src/app/request_forwarder_response.cpp
+++ b/src/app/request_forwarder_response.cpp
@@ -117,6 +117,12 @@
     LogEvent event("request.done");
     event.field("request", m_request.id).field("route", m_route == nullptr ? "" : m_route->name).field("status", status);
     event.field("outcome", outcome).field("server", m_lastServer).field("sends", m_attemptsSent).field("ms", toMilliseconds(duration));
+    if (!m_lastVersion.empty()) {
+        event.field("version", m_lastVersion);
+    }
+    if (!m_request.resumedRequest.empty()) {
+        event.field("resumes", m_request.resumedRequest);
+    }
     if (m_customer != nullptr) {
         event.field("customer", m_customer->id);
     }
--- a/src/app/request_forwarder_silence.cpp
+++ b/src/app/request_forwarder_silence.cpp
@@ -116,6 +116,7 @@
             .field("asked", m_lastServer);
     }
     m_lastServer = activeAttempt->backend->record.id;
+    m_lastVersion = activeAttempt->softwareVersion;
     m_serverProgressAt = activeAttempt->lastReceivedAt;
     return activeAttempt;
 }
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -154,7 +154,8 @@
     }
     const bool restarted = record.startedAt != current.startedAt;
     const bool changed = restarted || current.state != record.state || current.stage != record.stage || current.address != record.address
-        || current.service != record.service || current.remaining.has_value() != record.remaining.has_value();
+        || current.service != record.service
+        || current.softwareVersion != record.softwareVersion || current.remaining.has_value() != record.remaining.has_value();
     if (restarted) {
         backend->cache.clear();
         backend->failures = 0;
