--- /dev/null
+++ b/tests/src/unit-stream_versions.cpp
@@ -0,0 +1,108 @@
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "fakes/test_node.h"
+
+using namespace apricotarch;
+using namespace apricotarch::fakes;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A request for a plan. @param headers further header lines
+std::string planRequest(const std::string &id, const std::string &headers = {})
+{
+    return "POST /plan/1 HTTP/1.1\r\nHost: desk\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 5000\r\n" + headers
+        + "Content-Length: 0\r\n\r\n";
+}
+
+/// The rest of a stream after the event that a caller or a node has received last.
+std::string takeUp(const std::string &id, const std::string &resumed, int lastEvent)
+{
+    return planRequest(id, "Resumes: " + resumed + "\r\nLast-Event-Id: " + std::to_string(lastEvent) + "\r\n");
+}
+
+/// Events from the one after the requested position to the fourth, and the end of the stream.
+ScriptedAnswer restOfStream(const RequestHead &head)
+{
+    std::string answer = streamHead(head);
+    const std::string last(head.headers.value("Last-Event-Id"));
+    for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= 4; ++id) {
+        answer += chunk(event(id));
+    }
+    return ScriptedAnswer{answer + "0\r\n\r\n"};
+}
+
+/// Two events, after which the connection is reset.
+ScriptedAnswer brokenStream(const RequestHead &head)
+{
+    ScriptedAnswer answer{streamHead(head) + chunk(event(1)) + chunk(event(2))};
+    answer.closes = true;
+    return answer;
+}
+
+/// A node with servers of two software versions: "old", which is preferred, and "new".
+class NodeWithTwoVersions
+{
+public:
+    /// @param oldServer answers of the server of the old version
+    explicit NodeWithTwoVersions(const ScriptedServer::Script &oldServer)
+        : old(node.addServer("old", oldServer))
+        , other(node.addServer("new", [](const RequestHead &head, const std::string &) {
+            return restOfStream(head);
+        }))
+    {
+        setVersion("old", "v1");
+        setVersion("new", "v1.1");
+        setBusy(node, "new", true);
+    }
+
+    void setVersion(const char *server, const char *version)
+    {
+        BackendRecord record = node.state.backends.find(ReplicaId(server))->record;
+        record.softwareVersion = SoftwareVersion(version);
+        node.state.backends.update(record, node.state.clock.now());
+    }
+
+    TestNode node;
+    ScriptedServer &old;
+    ScriptedServer &other;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(stream_versions)
+
+BOOST_AUTO_TEST_SUITE(a_stream_that_breaks_off)
+
+BOOST_AUTO_TEST_CASE(is_continued_by_the_node_at_another_software_version, *boost::unit_test::label("known_red"))
+{
+    NodeWithTwoVersions fixture([](const RequestHead &head, const std::string &) {
+        return brokenStream(head);
+    });
+    const std::string answer = fixture.node.sendRequest(planRequest("r1"), "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.find(event(3)) == std::string::npos);
+    BOOST_TEST(fixture.other.targets.empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_taken_up_by_its_caller_at_another_software_version, *boost::unit_test::label("known_red"))
+{
+    NodeWithTwoVersions fixture([](const RequestHead &head, const std::string &) {
+        return head.headers.value("Last-Event-Id").empty() ? brokenStream(head) : restOfStream(head);
+    });
+    (void)fixture.node.sendRequest(planRequest("r1"), "0\r\n\r\n");
+    setBusy(fixture.node, "old", true);
+    setBusy(fixture.node, "new", false);
+    const std::size_t before = fixture.other.targets.size();
+    const std::string answer = fixture.node.sendRequest(takeUp("r2", "r1", 2), "0\r\n\r\n");
+    BOOST_TEST(answer.find(event(3)) != std::string::npos);
+    BOOST_TEST(answer.find(event(4)) != std::string::npos);
+    BOOST_TEST(fixture.other.targets.size() == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
