Keep in the store where streams began while several software versions serve

Cause: the origin of a stream was known to one process only, and a new process cannot tell from the servers of now which versions have served.

Each service has a row with the versions that may have begun streams, written when they change; a node that has just started reads it. While there is more than one, each node writes its open streams with their versions into a row of its own, every 200 ms in a small fleet; a node that does not know a stream reads these rows. If the store does not answer within 250 ms, the stream is refused.

--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -17,6 +17,7 @@
 #include "apricotarch/app/front_state.h"
 #include "apricotarch/app/node_registration.h"
 #include "apricotarch/app/snapshot_exchange.h"
+#include "apricotarch/app/stream_origin_store.h"
 #include "apricotarch/app/usage_exchange.h"
 #include "apricotarch/coordination/platform_services.h"
 #include "apricotarch/coordination/poll_schedule.h"
@@ -119,6 +120,7 @@
     FleetTables m_fleetTables;
     NodeRegistration m_registration;
     SnapshotExchange m_snapshots;
+    StreamOriginStore m_streamOrigins;
     Incarnation m_incarnation;
     MessageSequence m_sequence;
     EngineGroupLoads m_groupLoads;
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -124,6 +124,10 @@
     PlacementPlanner placementPlanner;
     ServerSpeeds serverSpeeds;
     ServiceVersions serviceVersions;
+    /// Versions that may have begun streams before this node observed the table of servers, as last read from the store.
+    std::map<ServiceId, VersionSet> recordedVersions;
+    /// Reads what the store has of the origins of streams; see StreamOriginStore.
+    std::function<asio::awaitable<void>()> refreshStreamOrigins;
     StreamVersionTable streamVersions; ///< Streams that began at this node, or of which other nodes have told it.
     BufferBudget buffers; ///< What is kept of answers, of callers' input and output, and of messages of the store and of other nodes.
     BackendConnectionPool backendPool;
--- /dev/null
+++ b/include/apricotarch/app/stream_origin_store.h
@@ -0,0 +1,71 @@
+#pragma once
+
+/**
+ * @file
+ * Keeps in the platform's store where streams began while several software versions serve, so that they can be resumed after the nodes that
+ * have seen them have ended.
+ */
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "apricotarch/app/front_state.h"
+#include "apricotarch/coordination/platform_services.h"
+#include "apricotarch/coordination/table_reader.h"
+
+namespace apricotarch
+{
+
+/**
+ * Each node has a row with its streams that have not ended and that began within the lifetime of a stream; it is written only while more
+ * than one version may have begun streams. Each service has a row with these versions, written by the node that orders stage changes when
+ * they change.
+ */
+class StreamOriginStore
+{
+public:
+    /**
+     * @param state the node's state; must outlive this object
+     * @param tables reads all rows
+     * @param rows reads and writes single rows
+     */
+    StreamOriginStore(FrontState &state, TableReader &tables, TableStore &rows);
+
+    /// Writes the rows as they change. Never returns.
+    [[nodiscard]] asio::awaitable<void> run();
+
+    /// Reads the rows of all nodes. Returns after a short time even if the store has not answered.
+    [[nodiscard]] asio::awaitable<void> refresh();
+
+private:
+    /// What this node knows of a row that it writes.
+    struct OwnRow
+    {
+        bool isRead = false;
+        StorePosition position;
+        std::string text;
+    };
+
+    [[nodiscard]] asio::awaitable<void> readRows();
+    /// Reads a row before it is written for the first time. @return the text if there is one
+    [[nodiscard]] asio::awaitable<Result<std::optional<std::string>>> readOwnRow(const std::string &key, OwnRow &row);
+    [[nodiscard]] asio::awaitable<void> writeRow(std::string key, OwnRow &row, std::string text);
+    [[nodiscard]] asio::awaitable<void> writeVersions(ServiceId service);
+    [[nodiscard]] asio::awaitable<void> writeStreams();
+    /// Returns the services whose streams can be resumed.
+    [[nodiscard]] std::vector<ServiceId> resumableServices() const;
+    [[nodiscard]] bool hasSeveralVersions(const ServiceId &service);
+    [[nodiscard]] Duration writeInterval() const;
+
+    FrontState &m_state;
+    TableReader &m_tables;
+    TableStore &m_rows;
+    OwnRow m_streams;
+    std::map<ServiceId, OwnRow> m_versions; ///< Only of the node that orders stage changes.
+    StoreIncarnation m_incarnation; ///< Of the store when the rows were read.
+    bool m_reading = false;
+    std::optional<TimePoint> m_readAt; ///< When the last successful read of all rows began.
+};
+
+} // namespace apricotarch
--- a/include/apricotarch/state/stream_version_table.h
+++ b/include/apricotarch/state/stream_version_table.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "apricotarch/base/clock.h"
@@ -46,14 +47,23 @@
     /// Most streams that are kept; beyond it the oldest one is forgotten. One takes about 150 bytes.
     static constexpr std::size_t MaxStreams = 50'000;
 
+    /// Most streams in ownStreams(), of about 20 bytes each.
+    static constexpr std::size_t MaxOwnStreams = 500;
+
     /// Records where a stream began, unless that is known already. @return whether it was not known
     bool record(const StreamRecord &record, TimePoint now);
 
     /// Returns where a stream began, if that is known.
     [[nodiscard]] std::optional<StreamOrigin> find(StreamKey stream) const;
 
-    /// Returns the known streams of a service.
-    [[nodiscard]] std::vector<StreamRecord> ofService(const ServiceId &service) const;
+    /// Records where a stream of this node began. @return whether it was not known
+    bool recordOwn(const StreamRecord &record, TimePoint now);
+
+    /// Marks a stream as complete: the caller has all of it, unless its connection was lost at the end.
+    void markComplete(StreamKey stream);
+
+    /// Returns the latest streams of this node that are not complete, at most MaxOwnStreams.
+    [[nodiscard]] std::vector<StreamRecord> ownStreams() const;
 
     /// Forgets the streams that were recorded before a time.
     void removeBefore(TimePoint time);
@@ -73,6 +83,7 @@
     void removeOldest();
 
     std::map<StreamKey, StreamOrigin> m_origins;
+    std::set<StreamKey> m_own; ///< Streams of this node that are not complete.
     std::deque<Age> m_ages; ///< Oldest first.
 };
 
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -56,6 +56,7 @@
     , m_fleetTables(state, std::move(decoders))
     , m_registration(state, tables, rows)
     , m_snapshots(state, m_fleetTables, m_registration, link)
+    , m_streamOrigins(state, tables, rows)
     , m_incarnation(incarnation)
     , m_groupLoads(state, link, incarnation, m_sequence)
 {
@@ -103,6 +104,12 @@
     startLoop(loop, "register_node", [this] {
         return m_registration.run();
     });
+    m_state.refreshStreamOrigins = [this] {
+        return m_streamOrigins.refresh();
+    };
+    startLoop(loop, "record_stream_origins", [this] {
+        return m_streamOrigins.run();
+    });
     startLoop(loop, "send_heartbeats", [this] {
         return heartbeatLoop();
     });
--- a/src/app/request_forwarder_response.cpp
+++ b/src/app/request_forwarder_response.cpp
@@ -26,6 +26,8 @@
 {
     if (m_response.streamStarted()) {
         m_response.endStream();
+        m_state.streamVersions.markComplete(streamKey(m_request.id));
+        m_state.streamVersions.markComplete(streamKey(m_request.resumedRequest));
         recordDuration();
         finishRequest(attempt.answer.status, "streamed");
         return;
--- a/src/app/stream_origin.cpp
+++ b/src/app/stream_origin.cpp
@@ -50,7 +50,7 @@
     const TimePoint now = state.clock.now();
     for (const RequestId *id : {&request, &resumed}) {
         if (!id->empty()) {
-            state.streamVersions.record({streamKey(*id), origin}, now);
+            state.streamVersions.recordOwn({streamKey(*id), origin}, now);
         }
     }
 }
@@ -65,6 +65,21 @@
     if (const std::optional<SoftwareVersion> version = findOnlyVersion(state, service)) {
         co_return StreamOrigin{service, *version};
     }
+    if (!state.refreshStreamOrigins) {
+        co_return std::nullopt;
+    }
+    co_await state.refreshStreamOrigins();
+    if (!resumed.empty()) {
+        if (std::optional<StreamOrigin> origin = state.streamVersions.find(streamKey(resumed))) {
+            co_return origin;
+        }
+    }
+    const auto recorded = state.recordedVersions.find(service);
+    if (recorded != state.recordedVersions.end()) {
+        if (const std::optional<SoftwareVersion> version = findOnlyVersion(state, service, recorded->second, true)) {
+            co_return StreamOrigin{service, *version};
+        }
+    }
     co_return std::nullopt;
 }
 
--- /dev/null
+++ b/src/app/stream_origin_store.cpp
@@ -0,0 +1,236 @@
+#include "apricotarch/app/stream_origin_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include "apricotarch/app/stream_origin.h"
+#include "apricotarch/base/background_task.h"
+#include "apricotarch/base/log.h"
+#include "apricotarch/state/stream_origin_rows.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// This system's own table. Keys are the prefix and the name of a node or of a service.
+constexpr const char *OriginsTable = "apricotarch-streams";
+constexpr const char *NodePrefix = "node.";
+constexpr const char *ServicePrefix = "service.";
+
+/// Interval between two writes of a node's row. It grows with the fleet, so that all nodes write at most 200 rows per second.
+constexpr Duration ShortestWriteInterval = 200ms;
+constexpr Duration WriteIntervalPerNode = 5ms;
+
+/// A caller that resumes a stream waits for the store at most this long.
+constexpr Duration LongestReadWait = 250ms;
+constexpr Duration ReadPollInterval = 10ms;
+
+/// Rows that were read this recently are not read again.
+constexpr Duration MinReadInterval = 100ms;
+
+} // namespace
+
+StreamOriginStore::StreamOriginStore(FrontState &state, TableReader &tables, TableStore &rows)
+    : m_state(state)
+    , m_tables(tables)
+    , m_rows(rows)
+{
+}
+
+asio::awaitable<void> StreamOriginStore::run()
+{
+    while (true) {
+        co_await m_state.clock.sleep(writeInterval());
+        const TimePoint now = m_state.clock.now();
+        if (!m_state.serversLoaded) {
+            continue;
+        }
+        m_state.serviceVersions.update(m_state.backends, now);
+        if (std::exchange(m_incarnation, m_rows.incarnation()) != m_rows.incarnation()) {
+            m_versions.clear(); // A restored store may have lost the rows.
+            m_streams = OwnRow();
+        }
+        const std::vector<ServiceId> services = resumableServices();
+        if (!services.empty() && !m_readAt) {
+            co_await readRows();
+        }
+        if (!m_state.peers.isStageController(now) || m_state.isShuttingDown()) {
+            m_versions.clear();
+        } else {
+            for (const ServiceId &service : services) {
+                co_await writeVersions(service);
+            }
+        }
+        if (std::ranges::any_of(services, [this](const ServiceId &service) {
+                return hasSeveralVersions(service);
+            })) {
+            co_await writeStreams();
+        }
+    }
+}
+
+asio::awaitable<void> StreamOriginStore::refresh()
+{
+    const TimePoint calledAt = m_state.clock.now();
+    if (m_readAt && calledAt - *m_readAt < MinReadInterval) {
+        co_return;
+    }
+    if (!m_reading) {
+        asio::co_spawn(m_state.executor, readRows(), LogFailure("read_stream_origins"));
+    }
+    const auto isReadSince = [this, calledAt] {
+        return m_readAt && *m_readAt >= calledAt - MinReadInterval;
+    };
+    while (!isReadSince() && m_state.clock.now() - calledAt < LongestReadWait) {
+        co_await m_state.clock.sleep(ReadPollInterval);
+    }
+}
+
+asio::awaitable<void> StreamOriginStore::readRows()
+{
+    if (std::exchange(m_reading, true)) {
+        co_return;
+    }
+    const TimePoint startedAt = m_state.clock.now();
+    const Result<RowBatch> batch = co_await m_tables.readTable(OriginsTable);
+    m_reading = false;
+    if (!batch) {
+        LogEvent("stream_origins.not_read", LogEvent::Level::Warning).error(batch.error());
+        co_return;
+    }
+    m_readAt = startedAt;
+    std::size_t streams = 0;
+    for (const StoredRow &row : batch->rows) {
+        if (row.key.starts_with(ServicePrefix)) {
+            if (const Result<VersionSet> versions = decodeVersionSet(row.text)) {
+                m_state.recordedVersions[ServiceId(row.key.substr(std::string_view(ServicePrefix).size()))] = *versions;
+            } else {
+                LogEvent("stream_origins.odd_row", LogEvent::Level::Warning).field("key", row.key).error(versions.error());
+            }
+        } else if (const Result<std::vector<StreamRecord>> records = decodeStreamRecords(row.text)) {
+            for (const StreamRecord &record : *records) {
+                streams += m_state.streamVersions.record(record, m_state.clock.now()) ? 1 : 0;
+            }
+        } else {
+            LogEvent("stream_origins.odd_row", LogEvent::Level::Warning).field("key", row.key).error(records.error());
+        }
+    }
+    LogEvent("stream_origins.read").field("rows", batch->rows.size()).field("new_streams", streams);
+}
+
+asio::awaitable<Result<std::optional<std::string>>> StreamOriginStore::readOwnRow(const std::string &key, OwnRow &row)
+{
+    RowKey rowKey{OriginsTable, key};
+    Result<std::optional<Row>> read = co_await m_rows.read(std::move(rowKey));
+    if (!read) {
+        co_return Failure(read.error());
+    }
+    row.isRead = true;
+    if (!*read) {
+        co_return std::optional<std::string>();
+    }
+    row.position = (*read)->version;
+    row.text = (*read)->text;
+    co_return std::optional<std::string>(row.text);
+}
+
+asio::awaitable<void> StreamOriginStore::writeRow(std::string key, OwnRow &row, std::string text)
+{
+    RowWrite write{{OriginsTable, key}, row.position, text, std::nullopt};
+    const Result<StorePosition> written = co_await m_rows.write(std::move(write));
+    if (!written) {
+        LogEvent("stream_origins.not_written", LogEvent::Level::Warning).field("key", key).error(written.error());
+        row = OwnRow(); // It may have been written nevertheless, or by another process.
+        co_return;
+    }
+    row.position = *written;
+    row.text = std::move(text);
+}
+
+asio::awaitable<void> StreamOriginStore::writeVersions(ServiceId service)
+{
+    const TimePoint from = m_state.clock.now() - streamLifetime(*m_state.plan, service);
+    const std::string key = ServicePrefix + service.value();
+    OwnRow &row = m_versions[service];
+    if (!row.isRead) {
+        const Result<std::optional<std::string>> text = co_await readOwnRow(key, row);
+        if (!text) {
+            LogEvent("stream_origins.not_read", LogEvent::Level::Warning).field("key", key).error(text.error());
+            co_return;
+        }
+    }
+    VersionSet versions = m_state.serviceVersions.servedSince(service, from);
+    if (!m_state.serviceVersions.isObservedSince(from) && !row.text.empty()) {
+        if (const Result<VersionSet> recorded = decodeVersionSet(row.text)) {
+            versions.insert(recorded->begin(), recorded->end());
+        }
+    }
+    std::string text = encodeVersionSet(versions);
+    if (versions.empty() || text == row.text) {
+        co_return;
+    }
+    LogEvent("service.versions").field("service", service).field("versions", text);
+    co_await writeRow(key, row, std::move(text));
+}
+
+asio::awaitable<void> StreamOriginStore::writeStreams()
+{
+    const std::string key = NodePrefix + m_state.settings.node.value();
+    if (!m_streams.isRead) {
+        const Result<std::optional<std::string>> text = co_await readOwnRow(key, m_streams);
+        if (!text) {
+            LogEvent("stream_origins.not_read", LogEvent::Level::Warning).field("key", key).error(text.error());
+            co_return;
+        }
+        if (*text) {
+            // Streams of the process before this one can still be resumed.
+            if (const Result<std::vector<StreamRecord>> records = decodeStreamRecords(**text)) {
+                for (const StreamRecord &record : *records) {
+                    m_state.streamVersions.recordOwn(record, m_state.clock.now());
+                }
+            }
+        }
+    }
+    std::string text = encodeStreamRecords(m_state.streamVersions.ownStreams());
+    if (text != m_streams.text) {
+        co_await writeRow(key, m_streams, std::move(text));
+    }
+}
+
+std::vector<ServiceId> StreamOriginStore::resumableServices() const
+{
+    std::vector<ServiceId> services;
+    for (const Route &route : m_state.plan->routes()) {
+        for (const ServiceWeight &weight : route.services) {
+            if (route.resumable && std::ranges::find(services, weight.service) == services.end()) {
+                services.push_back(weight.service);
+            }
+        }
+    }
+    return services;
+}
+
+bool StreamOriginStore::hasSeveralVersions(const ServiceId &service)
+{
+    const TimePoint from = m_state.clock.now() - streamLifetime(*m_state.plan, service);
+    VersionSet versions = m_state.serviceVersions.servedSince(service, from);
+    const auto recorded = m_state.recordedVersions.find(service);
+    if (recorded != m_state.recordedVersions.end() && !m_state.serviceVersions.isObservedSince(from)) {
+        versions.insert(recorded->second.begin(), recorded->second.end());
+    }
+    return versions.size() > 1;
+}
+
+Duration StreamOriginStore::writeInterval() const
+{
+    const auto nodes = static_cast<int>(m_state.peers.countBudgetNodes(m_state.clock.now()));
+    return std::max<Duration>(ShortestWriteInterval, WriteIntervalPerNode * nodes);
+}
+
+} // namespace apricotarch
--- a/src/state/stream_version_table.cpp
+++ b/src/state/stream_version_table.cpp
@@ -1,5 +1,7 @@
 #include "apricotarch/state/stream_version_table.h"
 
+#include <algorithm>
+
 #include "apricotarch/base/hash.h"
 
 namespace apricotarch
@@ -28,12 +30,23 @@
     return found == m_origins.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::vector<StreamRecord> StreamVersionTable::ofService(const ServiceId &service) const
+bool StreamVersionTable::recordOwn(const StreamRecord &streamRecord, TimePoint now)
+{
+    m_own.insert(streamRecord.stream);
+    return record(streamRecord, now);
+}
+
+void StreamVersionTable::markComplete(StreamKey stream)
+{
+    m_own.erase(stream);
+}
+
+std::vector<StreamRecord> StreamVersionTable::ownStreams() const
 {
     std::vector<StreamRecord> records;
-    for (const auto &[stream, origin] : m_origins) {
-        if (origin.service == service) {
-            records.push_back({stream, origin});
+    for (auto age = m_ages.rbegin(); age != m_ages.rend() && records.size() < std::min(m_own.size(), MaxOwnStreams); ++age) {
+        if (m_own.contains(age->stream)) {
+            records.push_back({age->stream, m_origins.at(age->stream)});
         }
     }
     return records;
@@ -49,6 +62,7 @@
 void StreamVersionTable::removeOldest()
 {
     m_origins.erase(m_ages.front().stream);
+    m_own.erase(m_ages.front().stream);
     m_ages.pop_front();
 }
 
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -14,6 +16,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "apricotarch/app/fleet_synchronizer.h"
+#include "apricotarch/app/stream_origin.h"
 #include "apricotarch/protocol/front_codec.h"
 #include "fakes/manual_clock.h"
 #include "platform/protocol_adapter.h"
@@ -117,12 +120,19 @@
     Clock &m_clock;
 };
 
-/// Returns decoders for test rows: a configuration is the digits of its version, a server's row is "r" (ready), "d" (draining) or "e" (a
-/// ready decode engine), and "?" cannot be decoded.
+/// Returns decoders for test rows: a configuration is the digits of its version and has one route, whose streams can be resumed; a server's
+/// row is "r" (ready), "d" (draining) or "e" (a ready decode engine), which a software version may follow, and "?" cannot be decoded.
 RowDecoders testDecoders()
 {
     const auto plan = [](const std::string &text) -> Result<RoutingPlan> {
-        return RoutingPlan(std::stoi(text), {}, {}, {});
+        Route route;
+        route.name = "plans";
+        route.host = "desk";
+        route.prefix = "/";
+        route.resumable = true;
+        route.timeout = 8s;
+        route.services = {{ServiceId("desk"), 1}};
+        return RoutingPlan(std::stoi(text), {route}, {}, {});
     };
     const auto server = [](const std::string &key, const std::string &text) -> Result<BackendRecord> {
         if (text == "?") {
@@ -131,8 +141,9 @@
         BackendRecord record;
         record.id = ReplicaId(key);
         record.service = ServiceId("desk");
-        record.state = text == "d" ? BackendState::Draining : BackendState::Ready;
-        record.stage = text == "e" ? EngineStage::Decode : EngineStage::Any;
+        record.state = text.front() == 'd' ? BackendState::Draining : BackendState::Ready;
+        record.stage = text.front() == 'e' ? EngineStage::Decode : EngineStage::Any;
+        record.softwareVersion = SoftwareVersion(text.substr(1));
         return record;
     };
     return {PlanTable, "config", ServersTable, plan, server};
@@ -587,6 +598,95 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_stream_that_is_resumed_after_all_nodes_were_started_again)
+
+/// A node of a fleet whose nodes were all ended at once, and of the fleet that follows.
+struct RestartedFleet
+{
+    /// Starts the node of the first fleet. @param servers rows of the servers
+    void startFirst(const std::vector<StoredRow> &servers)
+    {
+        first = std::make_unique<Node>(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+        first->tables.rows[PlanTable] = {row("config", "3", 1)};
+        first->tables.rows[ServersTable] = servers;
+        simulation.advance(4s);
+    }
+
+    /// Starts another node with the same store. @param servers rows of the servers
+    void startSecond(const std::vector<StoredRow> &servers)
+    {
+        const auto rows = first->tables.rows;
+        second = std::make_unique<Node>(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
+        second->tables.rows = rows;
+        second->tables.rows[ServersTable] = servers;
+        simulation.advance(2s);
+    }
+
+    /// Returns the version at which a stream began, as the second node finds it; "unknown" if it does not.
+    std::string findVersion(const char *request)
+    {
+        std::optional<StreamOrigin> origin;
+        bool isFound = false;
+        const auto find = [&]() -> asio::awaitable<void> {
+            ServiceId service("desk");
+            RequestId resumed(request);
+            origin = co_await findStreamOrigin(second->state, std::move(service), std::move(resumed));
+            isFound = true;
+        };
+        asio::co_spawn(simulation.eventLoops.coordinationLoop(), find(), asio::detached);
+        simulation.advance(1s);
+        BOOST_REQUIRE(isFound);
+        return origin ? origin->version.value() : "unknown";
+    }
+
+    Simulation simulation;
+    std::unique_ptr<Node> first;
+    std::unique_ptr<Node> second;
+};
+
+BOOST_FIXTURE_TEST_CASE(goes_on_at_the_version_that_the_store_has, RestartedFleet)
+{
+    const std::vector<StoredRow> servers = {row("i-1", "rv1", 2), row("i-2", "rv1.1", 3)};
+    startFirst(servers);
+    const ServiceId service("desk");
+    recordStreamOrigin(first->state, RequestId("r1"), RequestId(), {service, SoftwareVersion("v1")});
+    recordStreamOrigin(first->state, RequestId("r2"), RequestId("r0"), {service, SoftwareVersion("v1.1")});
+    simulation.advance(1s);
+    startSecond(servers);
+    BOOST_TEST(findVersion("r1") == "v1");
+    BOOST_TEST(findVersion("r2") == "v1.1");
+    BOOST_TEST(findVersion("r0") == "v1.1");
+    BOOST_TEST(findVersion("r9") == "unknown");
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_taken_for_one_of_the_new_version_while_the_old_one_has_just_left, RestartedFleet)
+{
+    startFirst({row("i-1", "rv1", 2), row("i-2", "rv1.1", 3)});
+    startSecond({row("i-2", "rv1.1", 3)});
+    BOOST_TEST(findVersion("r9") == "unknown");
+    simulation.advance(20s);
+    BOOST_TEST(findVersion("r9") == "v1.1"); // The lifetime of a stream has passed since.
+}
+
+BOOST_FIXTURE_TEST_CASE(goes_on_if_only_one_version_has_served, RestartedFleet)
+{
+    startFirst({row("i-1", "rv1", 2)});
+    startSecond({row("i-1", "rv1", 2)});
+    BOOST_TEST(findVersion("r9") == "v1");
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_taken_for_one_of_the_present_version_if_the_store_does_not_tell, RestartedFleet)
+{
+    startFirst({row("i-1", "rv1", 2)});
+    first->tables.rows.erase("apricotarch-streams");
+    startSecond({row("i-2", "rv1.1", 3)});
+    second->tables.failing["apricotarch-streams"] = ErrorId::StoreUnavailable;
+    second->state.recordedVersions.clear();
+    BOOST_TEST(findVersion("r9") == "unknown");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(a_server_that_leaves_is_learned_of_while_the_configuration_is_still_being_transferred)
 {
     // Servers' rows travelled behind a large configuration in one message; requests reached servers 3.3 s after they had announced their
