Keep the origins of streams at two nodes of each shard, of which one writes them to the store

Cause: the store was the only way from one node to another.

A node now tells two keepers of a stream's shard when the stream begins; nodes that do not know a stream ask them, and the first keeper writes the shard's row.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -260,6 +260,34 @@
   3: required i64 number
 }
 
+/// A stream and the software version of the service at which it began.
+struct StreamRecord {
+  /// Hash of the id of the request that brought the first event, see streamKey().
+  1: required i64 stream
+  2: required string originService
+  3: required string softwareVersion
+}
+
+/// Streams that the sender has begun and that have not ended. It is sent in one UDP datagram.
+struct StreamNotice {
+  1: required list<StreamRecord> streams
+}
+
+/// Asks where a stream began. It is sent in one UDP datagram.
+struct StreamQuery {
+  1: required i64 number
+  2: required string peerAddress
+  3: required i64 stream
+}
+
+/// Answer to a StreamQuery. It is sent in one UDP datagram.
+struct StreamReport {
+  1: required i64 number
+  2: required string peerAddress
+  /// Missing if the sender does not know the stream.
+  3: optional StreamRecord stream
+}
+
 /// Content of a datagram between front nodes. Exactly one field is set.
 struct FrontDatagram {
   1: optional FrontBeat beat
@@ -268,6 +296,9 @@
   4: optional GroupReport report
   5: optional UsageUpdate usage
   6: optional UsageAck usageAck
+  7: optional StreamNotice streamNotice
+  8: optional StreamQuery streamQuery
+  9: optional StreamReport streamReport
 }
 
 /// Requests the rows of the platform's tables that a front node has read.
--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -98,6 +98,18 @@
     void handleMessage(const LoadUpdate &update);
     void handleMessage(const EngineGroupQuery &query);
     void handleMessage(const EngineGroupReport &report);
+    void handleMessage(const StreamNotice &notice)
+    {
+        m_streamExchange.handle(notice);
+    }
+    void handleMessage(const StreamQuery &query)
+    {
+        m_streamExchange.handle(query);
+    }
+    void handleMessage(const StreamReport &report)
+    {
+        m_streamExchange.handle(report);
+    }
     void handleMessage(const UsageUpdate &update)
     {
         if (m_usage != nullptr) {
@@ -120,6 +132,7 @@
     FleetTables m_fleetTables;
     NodeRegistration m_registration;
     SnapshotExchange m_snapshots;
+    StreamOriginExchange m_streamExchange;
     StreamOriginStore m_streamOrigins;
     Incarnation m_incarnation;
     MessageSequence m_sequence;
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -128,6 +128,10 @@
     std::map<ServiceId, VersionSet> recordedVersions;
     /// Reads what the store has of the origins of streams; see StreamOriginStore.
     std::function<asio::awaitable<void>()> refreshStreamOrigins;
+    /// Asks other nodes for the origin of a stream; see StreamOriginExchange.
+    std::function<asio::awaitable<void>(StreamKey)> askForStreamOrigin;
+    /// Called when a stream of this node has begun, with its keys.
+    std::function<void(const std::vector<StreamRecord> &)> onStreamBegan;
     StreamVersionTable streamVersions; ///< Streams that began at this node, or of which other nodes have told it.
     BufferBudget buffers; ///< What is kept of answers, of callers' input and output, and of messages of the store and of other nodes.
     BackendConnectionPool backendPool;
--- /dev/null
+++ b/include/apricotarch/app/stream_origin_exchange.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/**
+ * @file
+ * Tells other nodes where streams began, so that these can be resumed after the node that began them has ended.
+ */
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "apricotarch/app/front_state.h"
+#include "apricotarch/transport/async_event.h"
+#include "apricotarch/transport/authenticated_link.h"
+
+namespace apricotarch
+{
+
+/**
+ * Streams are divided into shards by their keys, one shard for each 16 nodes. The origins of a shard are kept by two nodes, chosen by
+ * rendezvous hashing over the live nodes. So a stream costs a constant number of datagrams in a fleet of any size. Not thread-safe; used on
+ * one event loop.
+ */
+class StreamOriginExchange
+{
+public:
+    StreamOriginExchange(FrontState &state, AuthenticatedLink &link);
+
+    /// Tells the keepers of some streams where these began.
+    void announce(const std::vector<StreamRecord> &streams);
+
+    /// Asks the keepers of a stream. Returns after the first that knows it, or after a few milliseconds; the origin is then in
+    /// FrontState::streamVersions.
+    [[nodiscard]] asio::awaitable<void> ask(StreamKey stream);
+
+    void handle(const StreamNotice &notice);
+    void handle(const StreamQuery &query);
+    void handle(const StreamReport &report);
+
+    /// Returns the number of shards.
+    [[nodiscard]] std::size_t shardCount() const;
+    [[nodiscard]] std::size_t shardOf(StreamKey stream) const;
+    /// Returns the nodes that keep a shard, the one that writes it to the store first.
+    [[nodiscard]] std::vector<Endpoint> keepers(std::size_t shard) const;
+
+private:
+    struct PendingQuery
+    {
+        std::size_t unanswered = 0;
+        AsyncEvent *answered = nullptr;
+    };
+
+    void send(const Endpoint &peer, const FrontDatagram &datagram);
+
+    FrontState &m_state;
+    AuthenticatedLink &m_link;
+    std::int64_t m_lastQuery = 0;
+    std::map<std::int64_t, PendingQuery> m_queries; ///< Those that are waited for.
+};
+
+} // namespace apricotarch
--- a/include/apricotarch/app/stream_origin_store.h
+++ b/include/apricotarch/app/stream_origin_store.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "apricotarch/app/front_state.h"
+#include "apricotarch/app/stream_origin_exchange.h"
 #include "apricotarch/coordination/platform_services.h"
 #include "apricotarch/coordination/table_reader.h"
 
@@ -18,9 +19,9 @@
 {
 
 /**
- * Each node has a row with its streams that have not ended and that began within the lifetime of a stream; it is written only while more
- * than one version may have begun streams. Each service has a row with these versions, written by the node that orders stage changes when
- * they change.
+ * Each shard of streams (see StreamOriginExchange) has a row with the streams that its keepers know and that have not ended. It is written
+ * by the first keeper, and only while more than one version may have begun streams. Each service has a row with these versions, written by
+ * the node that orders stage changes when they change.
  */
 class StreamOriginStore
 {
@@ -29,8 +30,9 @@
      * @param state the node's state; must outlive this object
      * @param tables reads all rows
      * @param rows reads and writes single rows
+     * @param exchange tells and asks other nodes; must outlive this object
      */
-    StreamOriginStore(FrontState &state, TableReader &tables, TableStore &rows);
+    StreamOriginStore(FrontState &state, TableReader &tables, TableStore &rows, StreamOriginExchange &exchange);
 
     /// Writes the rows as they change. Never returns.
     [[nodiscard]] asio::awaitable<void> run();
@@ -52,18 +54,23 @@
     [[nodiscard]] asio::awaitable<Result<std::optional<std::string>>> readOwnRow(const std::string &key, OwnRow &row);
     [[nodiscard]] asio::awaitable<void> writeRow(std::string key, OwnRow &row, std::string text);
     [[nodiscard]] asio::awaitable<void> writeVersions(ServiceId service);
-    [[nodiscard]] asio::awaitable<void> writeStreams();
+    [[nodiscard]] asio::awaitable<void> writeShard(std::size_t shard);
+    /// Announces a stream that has begun while there are several versions.
+    void announceBegun(const std::vector<StreamRecord> &streams);
+    /// Announces all open streams when a second version appears, and now and then, since keepers may have changed.
+    void announceOpen();
     /// Returns the services whose streams can be resumed.
     [[nodiscard]] std::vector<ServiceId> resumableServices() const;
     [[nodiscard]] bool hasSeveralVersions(const ServiceId &service);
-    [[nodiscard]] Duration writeInterval() const;
-
     FrontState &m_state;
     TableReader &m_tables;
     TableStore &m_rows;
-    OwnRow m_streams;
+    StreamOriginExchange &m_exchange;
+    std::map<std::size_t, OwnRow> m_shards; ///< Those that this node writes.
     std::map<ServiceId, OwnRow> m_versions; ///< Only of the node that orders stage changes.
     StoreIncarnation m_incarnation; ///< Of the store when the rows were read.
+    bool m_hasSeveralVersions = false; ///< Of any service, at the last check.
+    TimePoint m_announcedAt; ///< When all open streams were last announced.
     bool m_reading = false;
     std::optional<TimePoint> m_readAt; ///< When the last successful read of all rows began.
 };
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -19,6 +19,7 @@
 #include "apricotarch/base/ids.h"
 #include "apricotarch/state/backend.h"
 #include "apricotarch/state/heartbeat.h"
+#include "apricotarch/state/stream_version_table.h"
 #include "apricotarch/state/usage_update.h"
 
 namespace apricotarch
@@ -184,8 +185,38 @@
     std::vector<EngineGroupEntry> engines;
 };
 
+/// Streams that the sender has begun and that have not ended, for a node that keeps their origins.
+struct StreamNotice
+{
+    std::vector<StreamRecord> streams;
+};
+
+/// Asks a node that keeps origins of streams for one of them.
+struct StreamQuery
+{
+    std::int64_t number = 0; ///< Identifies the query at its sender.
+    Endpoint peerAddress; ///< Address of the sender.
+    StreamKey stream;
+};
+
+/// Answer to a StreamQuery.
+struct StreamReport
+{
+    std::int64_t number = 0; ///< Number of the query.
+    Endpoint peerAddress; ///< Address of the sender.
+    std::optional<StreamRecord> stream; ///< Empty if the sender does not know the stream.
+};
+
 /// Content of a datagram between front nodes.
-using FrontDatagram = std::variant<FrontHeartbeat, LoadUpdate, EngineGroupQuery, EngineGroupReport, UsageUpdate, UsageAck>;
+using FrontDatagram = std::variant<FrontHeartbeat,
+    LoadUpdate,
+    EngineGroupQuery,
+    EngineGroupReport,
+    UsageUpdate,
+    UsageAck,
+    StreamNotice,
+    StreamQuery,
+    StreamReport>;
 
 /// A row of one of the platform's tables, in the platform's format.
 struct StoredRow
--- a/include/apricotarch/state/stream_version_table.h
+++ b/include/apricotarch/state/stream_version_table.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -47,8 +48,8 @@
     /// Most streams that are kept; beyond it the oldest one is forgotten. One takes about 150 bytes.
     static constexpr std::size_t MaxStreams = 50'000;
 
-    /// Most streams in ownStreams(), of about 20 bytes each.
-    static constexpr std::size_t MaxOwnStreams = 500;
+    /// Most streams in ownStreams() and in keptStreams().
+    static constexpr std::size_t MaxListedStreams = 2000;
 
     /// Records where a stream began, unless that is known already. @return whether it was not known
     bool record(const StreamRecord &record, TimePoint now);
@@ -62,8 +63,14 @@
     /// Marks a stream as complete: the caller has all of it, unless its connection was lost at the end.
     void markComplete(StreamKey stream);
 
-    /// Returns the latest streams of this node that are not complete, at most MaxOwnStreams.
-    [[nodiscard]] std::vector<StreamRecord> ownStreams() const;
+    /// Returns the latest streams of this node that are not complete and were recorded after a time, at most MaxListedStreams.
+    [[nodiscard]] std::vector<StreamRecord> ownStreams(TimePoint since) const;
+
+    /// Records a stream that another node has begun and that this one keeps for all until a time.
+    void keep(const StreamRecord &record, TimePoint until, TimePoint now);
+
+    /// Returns the latest streams that are kept, at most MaxListedStreams. @param isWanted selects streams
+    [[nodiscard]] std::vector<StreamRecord> keptStreams(TimePoint now, const std::function<bool(StreamKey)> &isWanted) const;
 
     /// Forgets the streams that were recorded before a time.
     void removeBefore(TimePoint time);
@@ -84,6 +91,7 @@
 
     std::map<StreamKey, StreamOrigin> m_origins;
     std::set<StreamKey> m_own; ///< Streams of this node that are not complete.
+    std::map<StreamKey, TimePoint> m_keptUntil;
     std::deque<Age> m_ages; ///< Oldest first.
 };
 
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -56,7 +56,8 @@
     , m_fleetTables(state, std::move(decoders))
     , m_registration(state, tables, rows)
     , m_snapshots(state, m_fleetTables, m_registration, link)
-    , m_streamOrigins(state, tables, rows)
+    , m_streamExchange(state, link)
+    , m_streamOrigins(state, tables, rows, m_streamExchange)
     , m_incarnation(incarnation)
     , m_groupLoads(state, link, incarnation, m_sequence)
 {
@@ -107,6 +108,9 @@
     m_state.refreshStreamOrigins = [this] {
         return m_streamOrigins.refresh();
     };
+    m_state.askForStreamOrigin = [this](StreamKey stream) {
+        return m_streamExchange.ask(stream);
+    };
     startLoop(loop, "record_stream_origins", [this] {
         return m_streamOrigins.run();
     });
--- a/src/app/stream_origin.cpp
+++ b/src/app/stream_origin.cpp
@@ -47,20 +47,30 @@
 
 void recordStreamOrigin(FrontState &state, const RequestId &request, const RequestId &resumed, StreamOrigin origin)
 {
-    const TimePoint now = state.clock.now();
+    std::vector<StreamRecord> records;
     for (const RequestId *id : {&request, &resumed}) {
         if (!id->empty()) {
-            state.streamVersions.recordOwn({streamKey(*id), origin}, now);
+            records.push_back({streamKey(*id), origin});
+            state.streamVersions.recordOwn(records.back(), state.clock.now());
         }
     }
+    if (state.onStreamBegan) {
+        state.onStreamBegan(records);
+    }
 }
 
 asio::awaitable<std::optional<StreamOrigin>> findStreamOrigin(FrontState &state, ServiceId service, RequestId resumed)
 {
-    if (!resumed.empty()) {
-        if (std::optional<StreamOrigin> origin = state.streamVersions.find(streamKey(resumed))) {
-            co_return origin;
-        }
+    const auto findStream = [&state, &resumed] {
+        return resumed.empty() ? std::nullopt : state.streamVersions.find(streamKey(resumed));
+    };
+    std::optional<StreamOrigin> origin = findStream();
+    if (!origin && !resumed.empty() && state.askForStreamOrigin) {
+        co_await state.askForStreamOrigin(streamKey(resumed)); // Another node may have learned of a version earlier than this one.
+        origin = findStream();
+    }
+    if (origin) {
+        co_return origin;
     }
     if (const std::optional<SoftwareVersion> version = findOnlyVersion(state, service)) {
         co_return StreamOrigin{service, *version};
@@ -69,18 +79,14 @@
         co_return std::nullopt;
     }
     co_await state.refreshStreamOrigins();
-    if (!resumed.empty()) {
-        if (std::optional<StreamOrigin> origin = state.streamVersions.find(streamKey(resumed))) {
-            co_return origin;
-        }
-    }
+    origin = findStream();
     const auto recorded = state.recordedVersions.find(service);
-    if (recorded != state.recordedVersions.end()) {
+    if (!origin && recorded != state.recordedVersions.end()) {
         if (const std::optional<SoftwareVersion> version = findOnlyVersion(state, service, recorded->second, true)) {
-            co_return StreamOrigin{service, *version};
+            origin = StreamOrigin{service, *version};
         }
     }
-    co_return std::nullopt;
+    co_return origin;
 }
 
 } // namespace apricotarch
--- /dev/null
+++ b/src/app/stream_origin_exchange.cpp
@@ -0,0 +1,158 @@
+#include "apricotarch/app/stream_origin_exchange.h"
+
+#include <algorithm>
+#include <bit>
+#include <functional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/this_coro.hpp>
+
+#include "apricotarch/app/stream_origin.h"
+#include "apricotarch/base/hash.h"
+#include "apricotarch/protocol/front_codec.h"
+
+namespace apricotarch
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t NodesPerShard = 16;
+
+/// With two keepers, one of them may fail.
+constexpr std::size_t KeepersPerShard = 2;
+
+/// Streams in one datagram, of at most about 60 bytes each.
+constexpr std::size_t MaxStreamsPerNotice = 20;
+
+/// Several round trips within a region.
+constexpr Duration AnswerTimeout = 25ms;
+
+/// An announced stream is kept for this long, unless it is announced again.
+constexpr Duration KeepTime = 5s;
+
+} // namespace
+
+StreamOriginExchange::StreamOriginExchange(FrontState &state, AuthenticatedLink &link)
+    : m_state(state)
+    , m_link(link)
+{
+}
+
+void StreamOriginExchange::announce(const std::vector<StreamRecord> &streams)
+{
+    const TimePoint now = m_state.clock.now();
+    std::map<std::size_t, std::vector<Endpoint>> keepersOf;
+    std::map<Endpoint, StreamNotice> notices;
+    for (const StreamRecord &record : streams) {
+        const std::size_t shard = shardOf(record.stream);
+        const auto [entry, added] = keepersOf.try_emplace(shard);
+        if (added) {
+            entry->second = keepers(shard);
+        }
+        for (const Endpoint &keeper : entry->second) {
+            if (keeper == m_state.settings.peerAddress) {
+                m_state.streamVersions.keep(record, now + KeepTime, now);
+                continue;
+            }
+            StreamNotice &notice = notices[keeper];
+            notice.streams.push_back(record);
+            if (notice.streams.size() == MaxStreamsPerNotice) {
+                send(keeper, std::exchange(notice, {}));
+            }
+        }
+    }
+    for (const auto &[keeper, notice] : notices) {
+        if (!notice.streams.empty()) {
+            send(keeper, notice);
+        }
+    }
+}
+
+asio::awaitable<void> StreamOriginExchange::ask(StreamKey stream)
+{
+    AsyncEvent answered(co_await asio::this_coro::executor);
+    const std::int64_t number = ++m_lastQuery;
+    PendingQuery &pending = m_queries[number];
+    pending.answered = &answered;
+    for (const Endpoint &keeper : keepers(shardOf(stream))) {
+        if (keeper != m_state.settings.peerAddress) {
+            ++pending.unanswered;
+            send(keeper, StreamQuery{number, m_state.settings.peerAddress, stream});
+        }
+    }
+    const TimePoint deadline = m_state.clock.now() + AnswerTimeout;
+    while (pending.unanswered > 0 && !m_state.streamVersions.find(stream) && m_state.clock.now() < deadline) {
+        co_await answered.waitUntil(deadline);
+    }
+    m_queries.erase(number);
+    m_state.metrics.increment(CounterFamily::Peers, m_state.streamVersions.find(stream) ? "stream_found" : "stream_not_found");
+}
+
+void StreamOriginExchange::handle(const StreamNotice &notice)
+{
+    const TimePoint now = m_state.clock.now();
+    for (const StreamRecord &record : notice.streams) {
+        m_state.streamVersions.keep(record, now + KeepTime, now);
+    }
+}
+
+void StreamOriginExchange::handle(const StreamQuery &query)
+{
+    StreamReport report{query.number, m_state.settings.peerAddress, std::nullopt};
+    if (const std::optional<StreamOrigin> origin = m_state.streamVersions.find(query.stream)) {
+        report.stream = StreamRecord{query.stream, *origin};
+    }
+    send(query.peerAddress, report);
+}
+
+void StreamOriginExchange::handle(const StreamReport &report)
+{
+    if (report.stream) {
+        m_state.streamVersions.record(*report.stream, m_state.clock.now());
+    }
+    const auto found = m_queries.find(report.number);
+    if (found == m_queries.end()) {
+        return;
+    }
+    found->second.unanswered -= std::min<std::size_t>(found->second.unanswered, 1);
+    found->second.answered->notify();
+}
+
+std::size_t StreamOriginExchange::shardCount() const
+{
+    const std::size_t nodes = m_state.peers.countBudgetNodes(m_state.clock.now());
+    return std::bit_floor(std::max<std::size_t>(nodes / NodesPerShard, 1)); // A power of two changes rarely.
+}
+
+std::size_t StreamOriginExchange::shardOf(StreamKey stream) const
+{
+    return static_cast<std::uint64_t>(stream.value()) % shardCount();
+}
+
+std::vector<Endpoint> StreamOriginExchange::keepers(std::size_t shard) const
+{
+    const auto key = static_cast<std::uint64_t>(contentHash("stream origins " + std::to_string(shard)).value());
+    std::vector<std::pair<std::uint64_t, Endpoint>> scores;
+    for (Endpoint &node : m_state.peers.stewardAddresses(m_state.clock.now())) {
+        scores.emplace_back(rendezvousScore(key, node.text()), std::move(node));
+    }
+    scores.emplace_back(rendezvousScore(key, m_state.settings.peerAddress.text()), m_state.settings.peerAddress);
+    const std::size_t count = std::min(KeepersPerShard, scores.size());
+    std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(count), scores.end(), std::greater<>());
+    std::vector<Endpoint> nodes;
+    for (std::size_t index = 0; index < count; ++index) {
+        nodes.push_back(std::move(scores[index].second));
+    }
+    return nodes;
+}
+
+void StreamOriginExchange::send(const Endpoint &peer, const FrontDatagram &datagram)
+{
+    m_link.sendDatagram(peer, m_link.authenticate(encodeFrontDatagram(datagram)));
+}
+
+} // namespace apricotarch
--- a/src/app/stream_origin_store.cpp
+++ b/src/app/stream_origin_store.cpp
@@ -18,14 +18,22 @@
 
 using namespace std::chrono_literals;
 
-/// This system's own table. Keys are the prefix and the name of a node or of a service.
+/// This system's own table. Keys are the prefix and the number of a shard or the name of a service.
 constexpr const char *OriginsTable = "apricotarch-streams";
-constexpr const char *NodePrefix = "node.";
+constexpr const char *ShardPrefix = "shard.";
 constexpr const char *ServicePrefix = "service.";
 
-/// Interval between two writes of a node's row. It grows with the fleet, so that all nodes write at most 200 rows per second.
-constexpr Duration ShortestWriteInterval = 200ms;
-constexpr Duration WriteIntervalPerNode = 5ms;
+/// Interval between two checks whether rows are to be written.
+constexpr Duration WriteInterval = 200ms;
+
+/// Open streams are announced again after this time.
+constexpr Duration AnnounceInterval = 2s;
+
+/// A stream that is open for longer than this is not announced any more.
+constexpr Duration LongestAnnouncedAge = 60s;
+
+/// Streams that an earlier keeper has written are kept for this long.
+constexpr Duration EarlierStreamsTime = 20s;
 
 /// A caller that resumes a stream waits for the store at most this long.
 constexpr Duration LongestReadWait = 250ms;
@@ -36,17 +44,21 @@
 
 } // namespace
 
-StreamOriginStore::StreamOriginStore(FrontState &state, TableReader &tables, TableStore &rows)
+StreamOriginStore::StreamOriginStore(FrontState &state, TableReader &tables, TableStore &rows, StreamOriginExchange &exchange)
     : m_state(state)
     , m_tables(tables)
     , m_rows(rows)
+    , m_exchange(exchange)
 {
+    m_state.onStreamBegan = [this](const std::vector<StreamRecord> &streams) {
+        announceBegun(streams);
+    };
 }
 
 asio::awaitable<void> StreamOriginStore::run()
 {
     while (true) {
-        co_await m_state.clock.sleep(writeInterval());
+        co_await m_state.clock.sleep(WriteInterval);
         const TimePoint now = m_state.clock.now();
         if (!m_state.serversLoaded) {
             continue;
@@ -54,7 +66,7 @@
         m_state.serviceVersions.update(m_state.backends, now);
         if (std::exchange(m_incarnation, m_rows.incarnation()) != m_rows.incarnation()) {
             m_versions.clear(); // A restored store may have lost the rows.
-            m_streams = OwnRow();
+            m_shards.clear();
         }
         const std::vector<ServiceId> services = resumableServices();
         if (!services.empty() && !m_readAt) {
@@ -67,14 +79,40 @@
                 co_await writeVersions(service);
             }
         }
-        if (std::ranges::any_of(services, [this](const ServiceId &service) {
-                return hasSeveralVersions(service);
-            })) {
-            co_await writeStreams();
+        m_hasSeveralVersions = std::ranges::any_of(services, [this](const ServiceId &service) {
+            return hasSeveralVersions(service);
+        });
+        if (!m_hasSeveralVersions) {
+            m_announcedAt = TimePoint();
+            continue;
+        }
+        announceOpen();
+        for (std::size_t shard = 0; shard < m_exchange.shardCount(); ++shard) {
+            if (m_exchange.keepers(shard).front() == m_state.settings.peerAddress) {
+                co_await writeShard(shard);
+            } else {
+                m_shards.erase(shard);
+            }
         }
     }
 }
 
+void StreamOriginStore::announceBegun(const std::vector<StreamRecord> &streams)
+{
+    if (m_hasSeveralVersions) {
+        m_exchange.announce(streams);
+    }
+}
+
+void StreamOriginStore::announceOpen()
+{
+    const TimePoint now = m_state.clock.now();
+    if (now - m_announcedAt >= AnnounceInterval) {
+        m_announcedAt = now;
+        m_exchange.announce(m_state.streamVersions.ownStreams(now - LongestAnnouncedAge));
+    }
+}
+
 asio::awaitable<void> StreamOriginStore::refresh()
 {
     const TimePoint calledAt = m_state.clock.now();
@@ -179,27 +217,30 @@
     co_await writeRow(key, row, std::move(text));
 }
 
-asio::awaitable<void> StreamOriginStore::writeStreams()
+asio::awaitable<void> StreamOriginStore::writeShard(std::size_t shard)
 {
-    const std::string key = NodePrefix + m_state.settings.node.value();
-    if (!m_streams.isRead) {
-        const Result<std::optional<std::string>> text = co_await readOwnRow(key, m_streams);
+    const std::string key = ShardPrefix + std::to_string(shard);
+    OwnRow &row = m_shards[shard];
+    if (!row.isRead) {
+        const Result<std::optional<std::string>> text = co_await readOwnRow(key, row);
         if (!text) {
             LogEvent("stream_origins.not_read", LogEvent::Level::Warning).field("key", key).error(text.error());
             co_return;
         }
-        if (*text) {
-            // Streams of the process before this one can still be resumed.
-            if (const Result<std::vector<StreamRecord>> records = decodeStreamRecords(**text)) {
-                for (const StreamRecord &record : *records) {
-                    m_state.streamVersions.recordOwn(record, m_state.clock.now());
-                }
+        if (const Result<std::vector<StreamRecord>> records = decodeStreamRecords(text->value_or(encodeStreamRecords({})))) {
+            // Streams of processes that have ended can still be resumed.
+            const TimePoint now = m_state.clock.now();
+            for (const StreamRecord &record : *records) {
+                m_state.streamVersions.keep(record, now + EarlierStreamsTime, now);
             }
         }
     }
-    std::string text = encodeStreamRecords(m_state.streamVersions.ownStreams());
-    if (text != m_streams.text) {
-        co_await writeRow(key, m_streams, std::move(text));
+    const auto isOfShard = [this, shard](StreamKey stream) {
+        return m_exchange.shardOf(stream) == shard;
+    };
+    std::string text = encodeStreamRecords(m_state.streamVersions.keptStreams(m_state.clock.now(), isOfShard));
+    if (text != row.text) {
+        co_await writeRow(key, row, std::move(text));
     }
 }
 
@@ -227,10 +268,4 @@
     return versions.size() > 1;
 }
 
-Duration StreamOriginStore::writeInterval() const
-{
-    const auto nodes = static_cast<int>(m_state.peers.countBudgetNodes(m_state.clock.now()));
-    return std::max<Duration>(ShortestWriteInterval, WriteIntervalPerNode * nodes);
-}
-
 } // namespace apricotarch
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -6,6 +6,7 @@
 
 #include "apricotarch/protocol/request_rate_codec.h"
 #include "apricotarch/protocol/sighting_codec.h"
+#include "apricotarch/protocol/stream_codec.h"
 #include "apricotarch/protocol/thrift_bytes.h"
 #include "apricotarch/protocol/usage_codec.h"
 
@@ -389,6 +390,12 @@
         message.__set_usage(usageToWire(*usage));
     } else if (const auto *usageAck = std::get_if<UsageAck>(&datagram)) {
         message.__set_usageAck(usageToWire(*usageAck));
+    } else if (const auto *notice = std::get_if<StreamNotice>(&datagram)) {
+        message.__set_streamNotice(streamToWire(*notice));
+    } else if (const auto *streamQuery = std::get_if<StreamQuery>(&datagram)) {
+        message.__set_streamQuery(streamToWire(*streamQuery));
+    } else if (const auto *streamReport = std::get_if<StreamReport>(&datagram)) {
+        message.__set_streamReport(streamToWire(*streamReport));
     } else {
         message.__set_report(toWire(std::get<EngineGroupReport>(datagram)));
     }
@@ -423,6 +430,19 @@
             return FrontDatagram(std::move(ack));
         });
     }
+    if (message->__isset.streamNotice) {
+        return FrontDatagram(streamFromWire(message->streamNotice));
+    }
+    if (message->__isset.streamQuery) {
+        return streamFromWire(message->streamQuery, peer).map([](StreamQuery streamQuery) {
+            return FrontDatagram(std::move(streamQuery));
+        });
+    }
+    if (message->__isset.streamReport) {
+        return streamFromWire(message->streamReport, peer).map([](StreamReport streamReport) {
+            return FrontDatagram(std::move(streamReport));
+        });
+    }
     return fail(ErrorId::MalformedMessage, "front_datagram.decode", peer, "datagram contains no known message");
 }
 
--- a/src/state/stream_version_table.cpp
+++ b/src/state/stream_version_table.cpp
@@ -41,10 +41,10 @@
     m_own.erase(stream);
 }
 
-std::vector<StreamRecord> StreamVersionTable::ownStreams() const
+std::vector<StreamRecord> StreamVersionTable::ownStreams(TimePoint since) const
 {
     std::vector<StreamRecord> records;
-    for (auto age = m_ages.rbegin(); age != m_ages.rend() && records.size() < std::min(m_own.size(), MaxOwnStreams); ++age) {
+    for (auto age = m_ages.rbegin(); age != m_ages.rend() && age->recordedAt > since && records.size() < MaxListedStreams; ++age) {
         if (m_own.contains(age->stream)) {
             records.push_back({age->stream, m_origins.at(age->stream)});
         }
@@ -52,6 +52,25 @@
     return records;
 }
 
+void StreamVersionTable::keep(const StreamRecord &streamRecord, TimePoint until, TimePoint now)
+{
+    record(streamRecord, now);
+    TimePoint &keptUntil = m_keptUntil[streamRecord.stream];
+    keptUntil = std::max(keptUntil, until);
+}
+
+std::vector<StreamRecord> StreamVersionTable::keptStreams(TimePoint now, const std::function<bool(StreamKey)> &isWanted) const
+{
+    std::vector<StreamRecord> records;
+    for (auto age = m_ages.rbegin(); age != m_ages.rend() && records.size() < MaxListedStreams; ++age) {
+        const auto kept = m_keptUntil.find(age->stream);
+        if (kept != m_keptUntil.end() && kept->second > now && isWanted(age->stream)) {
+            records.push_back({age->stream, m_origins.at(age->stream)});
+        }
+    }
+    return records;
+}
+
 void StreamVersionTable::removeBefore(TimePoint time)
 {
     while (!m_ages.empty() && m_ages.front().recordedAt < time) {
@@ -63,6 +82,7 @@
 {
     m_origins.erase(m_ages.front().stream);
     m_own.erase(m_ages.front().stream);
+    m_keptUntil.erase(m_ages.front().stream);
     m_ages.pop_front();
 }
 
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -598,6 +598,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(a_stream_is_resumed_at_its_version_by_a_node_that_has_not_seen_it)
+{
+    // The store does not answer, so the node that resumes the stream can only ask the nodes that keep its origin.
+    Simulation simulation;
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (const auto &[name, host] : {std::pair("a", "127.0.0.1"), std::pair("b", "127.0.0.2"), std::pair("c", "127.0.0.3")}) {
+        nodes.push_back(std::make_unique<Node>(simulation.eventLoops, simulation.clock, simulation.peerPort, name, host));
+        nodes.back()->tables.rows[PlanTable] = {row("config", "3", 1)};
+        nodes.back()->tables.rows[ServersTable] = {row("i-1", "rv1", 2), row("i-2", "rv1.1", 3)};
+        nodes.back()->tables.failing["apricotarch-streams"] = ErrorId::StoreUnavailable;
+    }
+    for (int second = 0; second < 4; ++second) {
+        simulation.advance(1s);
+    }
+    const ServiceId service("desk");
+    recordStreamOrigin(nodes[0]->state, RequestId("r1"), RequestId(), {service, SoftwareVersion("v1.1")});
+    simulation.advance(1ms);
+    for (const std::unique_ptr<Node> &node : nodes) {
+        std::optional<StreamOrigin> origin;
+        const auto find = [&]() -> asio::awaitable<void> {
+            ServiceId routed("desk");
+            RequestId resumed("r1");
+            origin = co_await findStreamOrigin(node->state, std::move(routed), std::move(resumed));
+        };
+        asio::co_spawn(simulation.eventLoops.coordinationLoop(), find(), asio::detached);
+        simulation.advance(1s);
+        BOOST_REQUIRE(origin.has_value());
+        BOOST_TEST(origin->version.value() == "v1.1");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_is_resumed_after_all_nodes_were_started_again)
 
 /// A node of a fleet whose nodes were all ended at once, and of the fleet that follows.
--- a/tests/src/unit-front_codec.cpp
+++ b/tests/src/unit-front_codec.cpp
@@ -134,6 +134,26 @@
     BOOST_TEST((decoded[1].age == 0ms)); // A statement of the future would outlast all later ones.
 }
 
+BOOST_AUTO_TEST_CASE(keeps_the_origins_of_streams)
+{
+    const StreamRecord record{StreamKey(-7), {ServiceId("desk"), SoftwareVersion("v1.1")}};
+    const auto notice = std::get<StreamNotice>(*decodeFrontDatagram(encodeFrontDatagram(StreamNotice{{record, record}}), "peer"));
+    BOOST_REQUIRE(notice.streams.size() == 2U);
+    BOOST_TEST(notice.streams[1].stream.value() == -7);
+    BOOST_TEST((notice.streams[1].origin == record.origin));
+    const StreamQuery query{3, {"10.0.0.1", 81}, StreamKey(9)};
+    BOOST_TEST(std::get<StreamQuery>(*decodeFrontDatagram(encodeFrontDatagram(query), "peer")).stream.value() == 9);
+    StreamReport report{3, {"10.0.0.1", 81}, record};
+    const auto decode = [&report] {
+        return std::get<StreamReport>(*decodeFrontDatagram(encodeFrontDatagram(report), "peer"));
+    };
+    BOOST_TEST((decode().stream->origin == record.origin));
+    report.stream.reset();
+    BOOST_TEST(!decode().stream.has_value());
+    report.peerAddress.host.clear();
+    BOOST_TEST(!decodeFrontDatagram(encodeFrontDatagram(report), "peer").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(does_not_follow_nested_messages_without_end)
 {
     // An unknown field with a structure in a structure in a structure.
