Take no answer for complete whose connection is reset while the upload is being written

Callers could get part of an answer as a whole one: a server answers a long upload at once without a length, sends part of the body and resets the connection. Cause: the system reports a reset once; if the write got it and its handler had not run yet, the read's end of the stream counted as the end of the answer. A pending write was not asked.

If a write is pending at the end of the stream, the connection is now checked for having been closed in both directions, which only a reset does. Elsewhere: the client of the store writes a request in full before it reads the answer.

--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -178,6 +178,8 @@
     void connect(Duration timeout);
     void write();
     void read();
+    /// Whether the connection can neither be read nor written any more, as after a reset. This node does not shut down one direction.
+    [[nodiscard]] bool isClosedBothWays();
     void handleInput(std::size_t size);
     void parseInput();
     /// Fails the exchange if the server sends more than an answer can hold. @return whether it has failed
--- a/src/transport/backend_connection.cpp
+++ b/src/transport/backend_connection.cpp
@@ -1,5 +1,7 @@
 #include "apricotarch/transport/backend_connection.h"
 
+#include <poll.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -134,8 +136,9 @@
         if (!exchanging) {
             return;
         }
-        // After a failed write, the end of the stream may be that of a reset connection, which the system reports only once.
-        const bool isEndOfAnswer = code == asio::error::eof && !self->m_writeFailed && !self->m_skipping;
+        // The system reports a reset only once. If the write gets or has got it, the read gets the end of the stream.
+        const bool isReset = self->m_writeFailed || (self->m_writing && self->isClosedBothWays());
+        const bool isEndOfAnswer = code == asio::error::eof && !isReset && !self->m_skipping;
         if (isEndOfAnswer && self->m_parser->handleEndOfStream()) {
             self->m_phase = ExchangePhase::Complete;
             self->notifyWaiter();
@@ -145,6 +148,12 @@
     });
 }
 
+bool BackendConnection::isClosedBothWays()
+{
+    pollfd state{m_socket.native_handle(), POLLOUT, 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 void BackendConnection::handleInput(std::size_t size)
 {
     if (m_phase == ExchangePhase::Idle || m_phase == ExchangePhase::Complete) {
