Take an answer with a status below 100 for malformed

A server in trouble answers with status 000. Callers did not get it as an answer, but waited for another one until their time was over: it counted as an informational answer, after which the final one is awaited. Such a status is now malformed in all parsers of answers, so that another server is asked, or 502 is sent, at once.

Evidence: request_forwarder/an_answer_whose_status_is_000 failed before (no 502 within 1 s; the view at another server only after the answer timeout) and passes now.

--- a/src/transport/message_parser.cpp
+++ b/src/transport/message_parser.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 
+/// Codes below it are no statuses (RFC 9110, 15). They must not count as informational answers, after which another one is awaited.
+constexpr int LowestStatus = 100;
+
 /// Stores the start line, headers and body of a message. @tparam IsRequest as in Beast's basic_parser
 template<bool IsRequest>
 class Parser : public http::basic_parser<IsRequest>
@@ -44,11 +47,14 @@
         target.assign(targetText.data(), targetText.size());
     }
 
-    void on_response_impl(int code, Text text, int versionNumber, Error & /*code*/) override
+    void on_response_impl(int answerStatus, Text text, int versionNumber, Error &code) override
     {
         version = versionNumber;
-        status = code;
+        status = answerStatus;
         reason.assign(text.data(), text.size());
+        if (status < LowestStatus) {
+            code = http::error::bad_status;
+        }
     }
 
     void on_field_impl(http::field /*field*/, Text name, Text value, Error & /*code*/) override
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -668,6 +668,41 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(an_answer_whose_status_is_000)
+
+/// An answer in the form of a success but for its status. The connection stays open.
+ScriptedAnswer answerWithoutStatus(const RequestHead &head, const std::string & /*body*/)
+{
+    std::string answer = fullResponse(head, "week");
+    answer.replace(answer.find("200"), 3, "000");
+    return ScriptedAnswer{answer};
+}
+
+BOOST_AUTO_TEST_CASE(is_waited_past_for_the_answer_that_never_comes)
+{
+    TestNode node;
+    node.addServer("a", answerWithoutStatus);
+    for (const std::string &request : {BookingRequest, ViewRequest}) {
+        const auto startedAt = std::chrono::steady_clock::now();
+        BOOST_TEST(node.sendRequest(request, "}").starts_with("HTTP/1.1 502"));
+        BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 1s));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_replaced_at_once_by_that_of_another_server)
+{
+    TestNode node;
+    node.addServer("a", answerWithoutStatus);
+    node.addServer("b", answerView);
+    setBusy(node, "b", true);
+    const auto startedAt = std::chrono::steady_clock::now();
+    BOOST_TEST(node.sendRequest(ViewRequest, "week").starts_with("HTTP/1.1 200"));
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 1s));
+    BOOST_TEST(node.servers[1]->targets.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_server_that_keeps_sending)
 
 BOOST_AUTO_TEST_CASE(bytes_but_no_event_loses_a_resumable_stream_to_another_server)
