Keep the origin of each stream at two nodes of its own, beside the writer of its shard

In a fleet of up to 31 nodes there is one shard, so the loss of its two keepers, in 8% of the cases in which three of nine nodes are killed at once, was the loss of all origins but those in the store. Cause: the keepers were chosen by shard.

--- a/include/apricotarch/app/stream_origin_exchange.h
+++ b/include/apricotarch/app/stream_origin_exchange.h
@@ -6,8 +6,10 @@
  */
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "apricotarch/app/front_state.h"
@@ -18,9 +20,9 @@
 {
 
 /**
- * Streams are divided into shards by their keys, one shard for each 16 nodes. The origins of a shard are kept by two nodes, chosen by
- * rendezvous hashing over the live nodes. So a stream costs a constant number of datagrams in a fleet of any size. Not thread-safe; used on
- * one event loop.
+ * The origin of a stream is kept by two nodes, chosen by rendezvous hashing over the live nodes, and by the writer of its shard, which has
+ * it stored. Streams are divided into shards by their keys, one shard for each 16 nodes. So a stream costs a constant number of datagrams
+ * in a fleet of any size. Not thread-safe; used on one event loop.
  */
 class StreamOriginExchange
 {
@@ -41,8 +43,8 @@
     /// Returns the number of shards.
     [[nodiscard]] std::size_t shardCount() const;
     [[nodiscard]] std::size_t shardOf(StreamKey stream) const;
-    /// Returns the nodes that keep a shard, the one that writes it to the store first.
-    [[nodiscard]] std::vector<Endpoint> keepers(std::size_t shard) const;
+    /// Whether this node writes a shard to the store.
+    [[nodiscard]] bool isWriter(std::size_t shard) const;
 
 private:
     struct PendingQuery
@@ -51,6 +53,11 @@
         AsyncEvent *answered = nullptr;
     };
 
+    /// Returns the nodes that keep a stream, the writer of its shard included.
+    [[nodiscard]] std::set<Endpoint> keepers(StreamKey stream) const;
+    /// Returns the first nodes by rendezvous hashing.
+    [[nodiscard]] std::vector<Endpoint> selectNodes(std::uint64_t key, std::size_t count) const;
+    [[nodiscard]] Endpoint writer(std::size_t shard) const;
     void send(const Endpoint &peer, const FrontDatagram &datagram);
 
     FrontState &m_state;
--- a/include/apricotarch/app/stream_origin_store.h
+++ b/include/apricotarch/app/stream_origin_store.h
@@ -19,9 +19,9 @@
 {
 
 /**
- * Each shard of streams (see StreamOriginExchange) has a row with the streams that its keepers know and that have not ended. It is written
- * by the first keeper, and only while more than one version may have begun streams. Each service has a row with these versions, written by
- * the node that orders stage changes when they change.
+ * Each shard of streams (see StreamOriginExchange) has a row with its streams that have not ended. Its writer writes it, but only while
+ * more than one version may have begun streams. Each service has a row with these versions, written by the node that orders stage changes
+ * when they change.
  */
 class StreamOriginStore
 {
--- a/src/app/stream_origin_exchange.cpp
+++ b/src/app/stream_origin_exchange.cpp
@@ -22,8 +22,8 @@
 
 constexpr std::size_t NodesPerShard = 16;
 
-/// With two keepers, one of them may fail.
-constexpr std::size_t KeepersPerShard = 2;
+/// Beside the writer of the shard. Each stream has its own, so that the loss of some nodes is the loss of few streams.
+constexpr std::size_t KeepersPerStream = 2;
 
 /// Streams in one datagram, of at most about 60 bytes each.
 constexpr std::size_t MaxStreamsPerNotice = 20;
@@ -45,15 +45,9 @@
 void StreamOriginExchange::announce(const std::vector<StreamRecord> &streams)
 {
     const TimePoint now = m_state.clock.now();
-    std::map<std::size_t, std::vector<Endpoint>> keepersOf;
     std::map<Endpoint, StreamNotice> notices;
     for (const StreamRecord &record : streams) {
-        const std::size_t shard = shardOf(record.stream);
-        const auto [entry, added] = keepersOf.try_emplace(shard);
-        if (added) {
-            entry->second = keepers(shard);
-        }
-        for (const Endpoint &keeper : entry->second) {
+        for (const Endpoint &keeper : keepers(record.stream)) {
             if (keeper == m_state.settings.peerAddress) {
                 m_state.streamVersions.keep(record, now + KeepTime, now);
                 continue;
@@ -78,7 +72,7 @@
     const std::int64_t number = ++m_lastQuery;
     PendingQuery &pending = m_queries[number];
     pending.answered = &answered;
-    for (const Endpoint &keeper : keepers(shardOf(stream))) {
+    for (const Endpoint &keeper : keepers(stream)) {
         if (keeper != m_state.settings.peerAddress) {
             ++pending.unanswered;
             send(keeper, StreamQuery{number, m_state.settings.peerAddress, stream});
@@ -133,15 +127,32 @@
     return static_cast<std::uint64_t>(stream.value()) % shardCount();
 }
 
-std::vector<Endpoint> StreamOriginExchange::keepers(std::size_t shard) const
+bool StreamOriginExchange::isWriter(std::size_t shard) const
+{
+    return writer(shard) == m_state.settings.peerAddress;
+}
+
+Endpoint StreamOriginExchange::writer(std::size_t shard) const
+{
+    return selectNodes(static_cast<std::uint64_t>(contentHash("stream origins " + std::to_string(shard)).value()), 1).front();
+}
+
+std::set<Endpoint> StreamOriginExchange::keepers(StreamKey stream) const
+{
+    const std::vector<Endpoint> nodes = selectNodes(static_cast<std::uint64_t>(stream.value()), KeepersPerStream);
+    std::set<Endpoint> keepers(nodes.begin(), nodes.end());
+    keepers.insert(writer(shardOf(stream)));
+    return keepers;
+}
+
+std::vector<Endpoint> StreamOriginExchange::selectNodes(std::uint64_t key, std::size_t count) const
 {
-    const auto key = static_cast<std::uint64_t>(contentHash("stream origins " + std::to_string(shard)).value());
     std::vector<std::pair<std::uint64_t, Endpoint>> scores;
     for (Endpoint &node : m_state.peers.stewardAddresses(m_state.clock.now())) {
         scores.emplace_back(rendezvousScore(key, node.text()), std::move(node));
     }
     scores.emplace_back(rendezvousScore(key, m_state.settings.peerAddress.text()), m_state.settings.peerAddress);
-    const std::size_t count = std::min(KeepersPerShard, scores.size());
+    count = std::min(count, scores.size());
     std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(count), scores.end(), std::greater<>());
     std::vector<Endpoint> nodes;
     for (std::size_t index = 0; index < count; ++index) {
--- a/src/app/stream_origin_store.cpp
+++ b/src/app/stream_origin_store.cpp
@@ -88,7 +88,7 @@
         }
         announceOpen();
         for (std::size_t shard = 0; shard < m_exchange.shardCount(); ++shard) {
-            if (m_exchange.keepers(shard).front() == m_state.settings.peerAddress) {
+            if (m_exchange.isWriter(shard)) {
                 co_await writeShard(shard);
             } else {
                 m_shards.erase(shard);
