Do not refuse the rest of a stream because new prompts would wait too long

Cause: one limit for requests that have a choice and for those that have none. A resumed stream is now refused only if its next event would come after its time limit. The test failed before: the rest was refused.

--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -305,6 +305,10 @@
 
 bool RequestForwarder::exceedsWaitLimit(const Placement &placement) const
 {
+    if (m_route->resumable && m_request.lastEventId) {
+        // The rest of a stream can only be had at the servers of its version, while new requests may use all.
+        return placement.predictedFirstEventMs > static_cast<double>(remainingTime().count());
+    }
     return placement.waitMs > m_state.settings.engineCosts.maxWaitMs;
 }
 
--- a/tests/src/unit-stream_versions.cpp
+++ b/tests/src/unit-stream_versions.cpp
@@ -103,6 +103,22 @@
     BOOST_TEST(fixture.other.targets.size() == before);
 }
 
+BOOST_AUTO_TEST_CASE(is_refused_its_rest_because_new_prompts_would_wait_too_long)
+{
+    // Engines of the stream's version had crashed; the others had a queue of a second, while the caller had several left.
+    TestNode node;
+    node.addEngine("engine", EngineStage::Decode, [](const RequestHead &head, const std::string &) {
+        return restOfStream(head);
+    });
+    node.state.backends.find(ReplicaId("engine"))->remoteLoad.promptTokens = 50'000;
+    BOOST_TEST(node.sendRequest(LongPromptRequest, "}").find("overloaded") != std::string::npos);
+    std::string resumed = LongPromptRequest;
+    resumed.replace(resumed.find("X-Model"), 0, "Resumes: r0\r\nLast-Event-Id: 2\r\n");
+    BOOST_TEST(node.sendRequest(resumed, "0\r\n\r\n").find(event(3)) != std::string::npos);
+    node.state.backends.find(ReplicaId("engine"))->remoteLoad.promptTokens = 500'000;
+    BOOST_TEST(node.sendRequest(resumed, "}").find("overloaded") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
