Let a stream wait for servers of its software version that start again

Cause: a node refuses at once when no server is left, which is right only if another try elsewhere may succeed; a stream has nowhere else to go.

Evidence: is_refused_its_rest_while_the_servers_of_its_version_start_again failed before (refused) and passes now.

--- a/include/apricotarch/app/request_forwarder.h
+++ b/include/apricotarch/app/request_forwarder.h
@@ -66,6 +66,10 @@
     /// For a resumed stream: limits the servers to the software version at which it began. @return whether the request has been refused
     /// because that version is not known
     [[nodiscard]] asio::awaitable<bool> refuseUnknownOrigin();
+    /// Whether servers of the stream's software version may be back before its caller gives it up, while only other versions are at hand.
+    [[nodiscard]] bool canWaitForVersion() const;
+    /// Waits for servers of the stream's software version. @return whether they are to be tried again; the request may have ended
+    [[nodiscard]] asio::awaitable<bool> waitForVersion();
     /// Whether a part of the request's prompt is quarantined.
     [[nodiscard]] bool hasQuarantinedPart();
     /// Ends a request with a quarantined part, if it has one. @return whether it has been ended
@@ -215,6 +219,7 @@
     SoftwareVersion m_lastVersion; ///< Software version of m_lastServer.
     /// Software version of the servers that may run the request; empty if any version may. The events of one stream come from one version.
     std::optional<SoftwareVersion> m_streamVersion;
+    int m_versionWaits = 0; ///< See waitForVersion().
     TimePoint m_serverProgressAt; ///< When m_lastServer last made progress on the request. Valid if there was an attempt.
     std::optional<KvLocation> m_kvLocation; ///< KV cache entry of the prompt that a prefill engine holds for this request.
     ReplicaId m_prefillEngine; ///< Engine of the last accepted prefill.
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -6,7 +6,6 @@
 
 #include "active_attempt.h"
 #include "apricotarch/app/shutdown_refusal.h"
-#include "apricotarch/app/stream_origin.h"
 #include "apricotarch/base/hash.h"
 
 namespace apricotarch
@@ -109,29 +108,6 @@
     return endIfQuarantined();
 }
 
-asio::awaitable<bool> RequestForwarder::refuseUnknownOrigin()
-{
-    if (!m_route->resumable || !m_request.lastEventId) {
-        co_return false;
-    }
-    const std::optional<StreamOrigin> origin = co_await findStreamOrigin(m_state, m_serviceId, m_request.resumedRequest);
-    if (!origin) {
-        refuse(RefusalReason::UnknownVersion);
-        co_return true;
-    }
-    const bool isRouted = std::ranges::any_of(m_route->services, [&origin](const ServiceWeight &weight) {
-        return weight.service == origin->service;
-    });
-    if (isRouted) {
-        m_serviceId = origin->service;
-        m_service = m_plan->service(m_serviceId);
-    }
-    if (m_serviceId == origin->service) {
-        m_streamVersion = origin->version;
-    }
-    co_return false;
-}
-
 bool RequestForwarder::hasQuarantinedPart()
 {
     return m_request.prompt && m_state.partQuarantine.findQuarantined(m_request.prompt->parts);
@@ -324,6 +300,7 @@
     progress.hasUntriedServer = std::any_of(servers.begin(), servers.end(), [this](const BackendPointer &server) {
         return !m_triedServers.contains(server->record.id);
     });
+    progress.hasUntriedServer = progress.hasUntriedServer || canWaitForVersion();
     return progress;
 }
 
--- a/src/app/request_forwarder_sending.cpp
+++ b/src/app/request_forwarder_sending.cpp
@@ -56,7 +56,20 @@
     if (isStoppedByQuarantine()) {
         co_return std::nullopt;
     }
-    const Placement placement = co_await selectPlacement();
+    Placement placement = co_await selectPlacement();
+    while (!placement.server) {
+        const bool canRetry = co_await waitForVersion();
+        if (m_finished) {
+            co_return std::nullopt;
+        }
+        if (!canRetry) {
+            break;
+        }
+        if (isStoppedByQuarantine()) {
+            co_return std::nullopt;
+        }
+        placement = co_await selectPlacement();
+    }
     m_lastPlacement = placement;
     BackendPointer server = placement.server;
     if (server && m_attemptsSent == 0 && exceedsWaitLimit(placement)) {
--- a/tests/src/unit-stream_versions.cpp
+++ b/tests/src/unit-stream_versions.cpp
@@ -119,6 +119,46 @@
     BOOST_TEST(node.sendRequest(resumed, "}").find("overloaded") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(is_refused_its_rest_while_the_servers_of_its_version_start_again)
+{
+    // Both decode engines of a version had crashed for two seconds, and all its streams were refused.
+    const ScriptedServer::Script script = [](const RequestHead &head, const std::string &) {
+        return head.headers.value("Last-Event-Id").empty() ? brokenStream(head) : restOfStream(head);
+    };
+    NodeWithTwoVersions fixture(script);
+    (void)fixture.node.sendRequest(planRequest("r1"), "0\r\n\r\n");
+    fixture.old.end();
+    const std::size_t before = fixture.other.targets.size();
+    CallerProbe caller(fixture.node, takeUp("r2", "r1", 2));
+    fixture.node.runFor(600ms);
+    BOOST_TEST(caller.answer.empty());
+    ScriptedServer restarted(fixture.node.loop, script);
+    BackendRecord record = fixture.node.state.backends.find(ReplicaId("old"))->record;
+    record.address = restarted.endpoint();
+    record.startedAt = 1;
+    fixture.node.state.backends.update(record, fixture.node.state.clock.now());
+    fixture.node.runFor(600ms);
+    BOOST_TEST(caller.answer.find(event(3)) != std::string::npos);
+    BOOST_TEST(fixture.other.targets.size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_servers_of_its_version_only_until_its_caller_gives_it_up)
+{
+    NodeWithTwoVersions fixture([](const RequestHead &head, const std::string &) {
+        return brokenStream(head);
+    });
+    (void)fixture.node.sendRequest(planRequest("r1"), "0\r\n\r\n");
+    fixture.old.end();
+    const auto startedAt = std::chrono::steady_clock::now();
+    BOOST_TEST(fixture.node.sendRequest(takeUp("r2", "r1", 2), "}").starts_with("HTTP/1.1 503"));
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 2500ms));
+    // A server that has left does not come back.
+    fixture.node.state.backends.remove(ReplicaId("old"), fixture.node.state.clock.now() - 2s);
+    const auto leftAt = std::chrono::steady_clock::now();
+    BOOST_TEST(fixture.node.sendRequest(takeUp("r3", "r1", 2), "}").starts_with("HTTP/1.1 503"));
+    BOOST_TEST((std::chrono::steady_clock::now() - leftAt < 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
