--- a/tests/src/unit-rate_division.cpp
+++ b/tests/src/unit-rate_division.cpp
@@ -1,11 +1,13 @@
 #include <algorithm>
 #include <deque>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "apricotarch/coordination/peer_table.h"
 #include "apricotarch/coordination/rate_division.h"
 
 using namespace apricotarch;
@@ -146,7 +148,7 @@
 
 BOOST_AUTO_TEST_CASE(stay_within_the_limit_while_all_nodes_are_restarted_in_turn)
 {
-    for (const std::size_t nodes : {7U, 680U}) {
+    for (const std::size_t nodes : {7U, 87U, 680U}) {
         constexpr double Limit = 3.3;
         BusyFleet fleet(nodes);
         fleet.tellAll(Limit, 1, Start);
@@ -162,6 +164,46 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(do_not_change_in_a_partition_of_up_to_half_a_minute)
+{
+    for (const std::size_t count : {7U, 87U}) {
+        const std::vector<Endpoint> addresses = makeNodes(count);
+        std::vector<std::unique_ptr<PeerTable>> tables;
+        for (std::size_t index = 0; index < count; ++index) {
+            tables.push_back(
+                std::make_unique<PeerTable>(PeerIdentity{NodeId(std::to_string(index)), addresses[index], ZoneId("z")}, PeerTimeouts()));
+        }
+        const auto exchangeHeartbeats = [&](TimePoint now, std::size_t cut) {
+            for (std::size_t from = 0; from < count; ++from) {
+                FrontHeartbeat heartbeat;
+                heartbeat.node = NodeId(std::to_string(from));
+                heartbeat.peerAddress = addresses[from];
+                heartbeat.sequence = now.time_since_epoch().count();
+                for (std::size_t to = 0; to < count; ++to) {
+                    if (to != from && (to < cut) == (from < cut)) {
+                        tables[to]->recordHeartbeat(heartbeat, now);
+                    }
+                }
+            }
+        };
+        const auto sumOfShares = [&](TimePoint now) {
+            double sum = 0;
+            for (std::size_t index = 0; index < count; ++index) {
+                const FleetView view{addresses[index], tables[index]->budgetAddresses(now), tables[index]->countBudgetNodes(now)};
+                sum += divideRequestRate(3.3, Server, view).perSecond;
+            }
+            return sum;
+        };
+        exchangeHeartbeats(Start, 0);
+        for (TimePoint now = Start + 1s; now < Start + 30s; now += 1s) {
+            exchangeHeartbeats(now, count / 2);
+            BOOST_REQUIRE_CLOSE(sumOfShares(now), 3.3, 1e-6);
+        }
+        exchangeHeartbeats(Start + 31s, count / 2);
+        BOOST_TEST(sumOfShares(Start + 31s) <= 2 * 3.3 + 1e-6); // Each side of the partition; see docs/design/request-rate-limits.md.
+    }
+}
+
 BOOST_AUTO_TEST_CASE(stay_within_a_limit_that_falls_or_rises)
 {
     BusyFleet fleet(7);
