--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -18,6 +18,7 @@
 #include "apricotarch/app/fleet_synchronizer.h"
 #include "apricotarch/app/stream_origin.h"
 #include "apricotarch/protocol/front_codec.h"
+#include "fakes/free_port.h"
 #include "fakes/manual_clock.h"
 #include "platform/protocol_adapter.h"
 
@@ -30,14 +31,6 @@
 constexpr const char *PlanTable = "op";
 constexpr const char *ServersTable = "servers";
 
-/// Returns a free loopback port. All nodes of a test use the same port on different addresses.
-std::uint16_t findFreePort()
-{
-    asio::io_context loop;
-    const asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-}
-
 /// Tables of a fake store whose calls can be made to fail.
 class FakeTables final : public TableReader, public TableStore
 {
@@ -211,7 +204,7 @@
 
     EventLoopPool eventLoops{1};
     fakes::ManualClock clock; ///< Declared after the event loop, since its sleepers must be destroyed first.
-    std::uint16_t peerPort = findFreePort();
+    std::uint16_t peerPort = fakes::findFreePort();
 };
 
 StoredRow row(const char *key, const char *text, std::int64_t version)
--- a/tests/src/unit-silent_store.cpp
+++ b/tests/src/unit-silent_store.cpp
@@ -13,6 +13,7 @@
 #include "apricotarch/coordination/poll_schedule.h"
 #include "apricotarch/transport/event_loop_pool.h"
 #include "apricotarch/transport/message_authenticator.h"
+#include "fakes/free_port.h"
 #include "fakes/manual_clock.h"
 #include "platform/protocol_adapter.h"
 #include "platform/store_client.h"
@@ -160,13 +161,6 @@
     return {PlanTable, "config", ServersTable, plan, server};
 }
 
-std::uint16_t findFreePort()
-{
-    asio::io_context loop;
-    const asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
-    return acceptor.local_endpoint().port();
-}
-
 /// The only node, which reads configuration 3 and one server from the store.
 class LonelyNode
 {
@@ -207,7 +201,7 @@
         settings.node = NodeId("a");
         settings.zone = ZoneId("z");
         settings.callerAddress = {"127.0.0.1", 17'460};
-        settings.peerAddress = {"127.0.0.1", findFreePort()};
+        settings.peerAddress = {"127.0.0.1", fakes::findFreePort()};
         return settings;
     }
 
