Choose the keepers of streams from a list of nodes that is hashed every 100 ms

The addresses are now hashed once in 100 ms; a choice compares their hashes. No change of which data is sent; not measured at that size.

--- a/include/apricotarch/app/stream_origin_exchange.h
+++ b/include/apricotarch/app/stream_origin_exchange.h
@@ -44,9 +44,16 @@
     [[nodiscard]] std::size_t shardCount() const;
     [[nodiscard]] std::size_t shardOf(StreamKey stream) const;
     /// Whether this node writes a shard to the store.
-    [[nodiscard]] bool isWriter(std::size_t shard) const;
+    [[nodiscard]] bool isWriter(std::size_t shard);
 
 private:
+    /// A node that can keep streams.
+    struct Candidate
+    {
+        std::uint64_t hash = 0; ///< Of the address.
+        Endpoint address;
+    };
+
     struct PendingQuery
     {
         std::size_t unanswered = 0;
@@ -54,14 +61,17 @@
     };
 
     /// Returns the nodes that keep a stream, the writer of its shard included.
-    [[nodiscard]] std::set<Endpoint> keepers(StreamKey stream) const;
-    /// Returns the first nodes by rendezvous hashing.
-    [[nodiscard]] std::vector<Endpoint> selectNodes(std::uint64_t key, std::size_t count) const;
-    [[nodiscard]] Endpoint writer(std::size_t shard) const;
+    [[nodiscard]] std::set<Endpoint> keepers(StreamKey stream);
+    /// Returns the first nodes by rendezvous hashing, of the candidates. Linear in the number of nodes.
+    [[nodiscard]] std::vector<const Endpoint *> selectNodes(std::uint64_t key, std::size_t count);
+    [[nodiscard]] const Endpoint &writer(std::size_t shard);
+    void updateCandidates();
     void send(const Endpoint &peer, const FrontDatagram &datagram);
 
     FrontState &m_state;
     AuthenticatedLink &m_link;
+    std::vector<Candidate> m_candidates; ///< The live nodes, this one included.
+    TimePoint m_candidatesAt; ///< When m_candidates was updated.
     std::int64_t m_lastQuery = 0;
     std::map<std::int64_t, PendingQuery> m_queries; ///< Those that are waited for.
 };
--- a/src/app/stream_origin_exchange.cpp
+++ b/src/app/stream_origin_exchange.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/this_coro.hpp>
@@ -28,6 +29,9 @@
 /// Streams in one datagram, of at most about 60 bytes each.
 constexpr std::size_t MaxStreamsPerNotice = 20;
 
+/// Time for which the list of live nodes is used.
+constexpr Duration CandidatesLifetime = 100ms;
+
 /// Several round trips within a region.
 constexpr Duration AnswerTimeout = 25ms;
 
@@ -127,40 +131,60 @@
     return static_cast<std::uint64_t>(stream.value()) % shardCount();
 }
 
-bool StreamOriginExchange::isWriter(std::size_t shard) const
+bool StreamOriginExchange::isWriter(std::size_t shard)
 {
     return writer(shard) == m_state.settings.peerAddress;
 }
 
-Endpoint StreamOriginExchange::writer(std::size_t shard) const
+const Endpoint &StreamOriginExchange::writer(std::size_t shard)
 {
-    return selectNodes(static_cast<std::uint64_t>(contentHash("stream origins " + std::to_string(shard)).value()), 1).front();
+    return *selectNodes(static_cast<std::uint64_t>(contentHash("stream origins " + std::to_string(shard)).value()), 1).front();
 }
 
-std::set<Endpoint> StreamOriginExchange::keepers(StreamKey stream) const
+std::set<Endpoint> StreamOriginExchange::keepers(StreamKey stream)
 {
-    const std::vector<Endpoint> nodes = selectNodes(static_cast<std::uint64_t>(stream.value()), KeepersPerStream);
-    std::set<Endpoint> keepers(nodes.begin(), nodes.end());
+    std::set<Endpoint> keepers;
+    for (const Endpoint *node : selectNodes(static_cast<std::uint64_t>(stream.value()), KeepersPerStream)) {
+        keepers.insert(*node);
+    }
     keepers.insert(writer(shardOf(stream)));
     return keepers;
 }
 
-std::vector<Endpoint> StreamOriginExchange::selectNodes(std::uint64_t key, std::size_t count) const
+std::vector<const Endpoint *> StreamOriginExchange::selectNodes(std::uint64_t key, std::size_t count)
 {
-    std::vector<std::pair<std::uint64_t, Endpoint>> scores;
-    for (Endpoint &node : m_state.peers.stewardAddresses(m_state.clock.now())) {
-        scores.emplace_back(rendezvousScore(key, node.text()), std::move(node));
+    updateCandidates();
+    std::vector<std::pair<std::uint64_t, const Endpoint *>> scores;
+    scores.reserve(m_candidates.size());
+    for (const Candidate &candidate : m_candidates) {
+        const auto *bytes = reinterpret_cast<const char *>(&candidate.hash);
+        scores.emplace_back(rendezvousScore(key, std::string_view(bytes, sizeof(candidate.hash))), &candidate.address);
     }
-    scores.emplace_back(rendezvousScore(key, m_state.settings.peerAddress.text()), m_state.settings.peerAddress);
     count = std::min(count, scores.size());
     std::partial_sort(scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(count), scores.end(), std::greater<>());
-    std::vector<Endpoint> nodes;
+    std::vector<const Endpoint *> nodes;
     for (std::size_t index = 0; index < count; ++index) {
-        nodes.push_back(std::move(scores[index].second));
+        nodes.push_back(scores[index].second);
     }
     return nodes;
 }
 
+void StreamOriginExchange::updateCandidates()
+{
+    const TimePoint now = m_state.clock.now();
+    if (!m_candidates.empty() && now - m_candidatesAt < CandidatesLifetime) {
+        return;
+    }
+    m_candidatesAt = now;
+    m_candidates.clear();
+    std::vector<Endpoint> nodes = m_state.peers.stewardAddresses(now);
+    nodes.push_back(m_state.settings.peerAddress);
+    for (Endpoint &node : nodes) {
+        const auto hash = static_cast<std::uint64_t>(contentHash(node.text()).value());
+        m_candidates.push_back({hash, std::move(node)});
+    }
+}
+
 void StreamOriginExchange::send(const Endpoint &peer, const FrontDatagram &datagram)
 {
     m_link.sendDatagram(peer, m_link.authenticate(encodeFrontDatagram(datagram)));
