--- a/include/apricotarch/coordination/configuration_manager.h
+++ b/include/apricotarch/coordination/configuration_manager.h
@@ -126,6 +126,8 @@
         std::size_t unanswered = 0; ///< Number of requests without an answer so far.
     };
 
+    /// Returns the key of the configuration's row.
+    [[nodiscard]] static RowKey rowKey();
     [[nodiscard]] asio::awaitable<Result<std::optional<CommittedConfiguration>>> readRow();
     /// Offers a body to the members and, if a majority holds it, replaces the row @p base.
     [[nodiscard]] asio::awaitable<Result<CommittedConfiguration>> commit(
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "apricotarch/protocol/engine_evidence_codec.h"
 #include "apricotarch/protocol/request_rate_codec.h"
 #include "apricotarch/protocol/sighting_codec.h"
 #include "apricotarch/protocol/stream_codec.h"
@@ -18,12 +19,6 @@
 namespace
 {
 
-/// Version in a FleetSnapshotRequest of a table that is not requested.
-constexpr std::int64_t NotRequested = std::numeric_limits<std::int64_t>::max();
-
-/// A likelihood of 1 in percent.
-constexpr std::int32_t FullPercent = 100;
-
 wire::ServerLoad toWire(const ServerLoad &entry)
 {
     wire::ServerLoad load;
@@ -87,65 +82,6 @@
     }
 }
 
-void writePartEvidence(wire::FrontBeat &message, const FrontHeartbeat &heartbeat)
-{
-    for (const PartEvidence &entry : heartbeat.partEvidence) {
-        wire::PartEvidence evidence;
-        evidence.part = static_cast<std::int64_t>(entry.part);
-        evidence.position = entry.position;
-        for (const EngineCrash &crash : entry.crashes) {
-            evidence.crashes.push_back(static_cast<std::int32_t>(crash.process));
-            evidence.crashAges.push_back(static_cast<std::int32_t>(crash.age.count()));
-            evidence.crashLikelihoods.push_back(static_cast<std::int32_t>(std::lround(crash.likelihood * FullPercent)));
-        }
-        evidence.__isset.crashLikelihoods = true;
-        if (entry.answerAge) {
-            evidence.__set_answerAge(static_cast<std::int32_t>(entry.answerAge->count()));
-        }
-        message.partEvidence.push_back(std::move(evidence));
-        message.__isset.partEvidence = true;
-    }
-}
-
-void readPartEvidence(FrontHeartbeat &heartbeat, const wire::FrontBeat &message)
-{
-    for (const wire::PartEvidence &entry : message.partEvidence) {
-        PartEvidence evidence;
-        evidence.part = static_cast<std::uint64_t>(entry.part);
-        evidence.position = entry.position;
-        for (std::size_t index = 0; index < std::min(entry.crashes.size(), entry.crashAges.size()); ++index) {
-            const std::int32_t percent = index < entry.crashLikelihoods.size() ? entry.crashLikelihoods[index] : FullPercent;
-            evidence.crashes.push_back({static_cast<std::uint32_t>(entry.crashes[index]),
-                std::chrono::milliseconds(entry.crashAges[index]),
-                std::clamp(percent, 0, FullPercent) / static_cast<double>(FullPercent)});
-        }
-        if (entry.__isset.answerAge) {
-            evidence.answerAge = std::chrono::milliseconds(entry.answerAge);
-        }
-        heartbeat.partEvidence.push_back(std::move(evidence));
-    }
-}
-
-void writeSpeedSamples(wire::FrontBeat &message, const FrontHeartbeat &heartbeat)
-{
-    if (heartbeat.speedSamples.empty()) {
-        return;
-    }
-    for (const SpeedSample &sample : heartbeat.speedSamples) {
-        message.speedKeys.push_back(static_cast<std::int32_t>(sample.engine));
-        message.speedPercents.push_back(sample.percent);
-    }
-    message.__isset.speedKeys = true;
-    message.__isset.speedPercents = true;
-}
-
-void readSpeedSamples(FrontHeartbeat &heartbeat, const wire::FrontBeat &message)
-{
-    for (std::size_t index = 0; index < std::min(message.speedKeys.size(), message.speedPercents.size()); ++index) {
-        heartbeat.speedSamples.push_back({static_cast<std::uint32_t>(message.speedKeys[index]), message.speedPercents[index]});
-    }
-}
-
 void writeStageData(wire::FrontBeat &message, const FrontHeartbeat &heartbeat)
 {
     for (const auto &[service, rate] : heartbeat.prefillRates) {
@@ -200,25 +136,6 @@
     }
 }
 
-void writeRows(std::vector<wire::StoredRow> &messages, const std::vector<StoredRow> &rows)
-{
-    for (const StoredRow &row : rows) {
-        wire::StoredRow message;
-        message.key = row.key;
-        message.text = row.text;
-        message.version = row.version.packed();
-        message.removed = row.removed;
-        messages.push_back(std::move(message));
-    }
-}
-
-void readRows(std::vector<StoredRow> &rows, std::vector<wire::StoredRow> &messages)
-{
-    for (wire::StoredRow &message : messages) {
-        rows.push_back({std::move(message.key), std::move(message.text), StorePosition::unpack(message.version), message.removed});
-    }
-}
-
 wire::FrontBeat toWire(const FrontHeartbeat &heartbeat)
 {
     wire::FrontBeat message;
@@ -446,66 +363,4 @@
     return fail(ErrorId::MalformedMessage, "front_datagram.decode", peer, "datagram contains no known message");
 }
 
-std::string encodeFleetSnapshotRequest(const FleetSnapshotRequest &request)
-{
-    wire::FleetSnapshotRequest message;
-    message.sender = request.sender.value();
-    message.planVersion = request.planVersion ? request.planVersion->value() : NotRequested;
-    message.serversVersion = request.serversVersion ? request.serversVersion->packed() : NotRequested;
-    message.__set_acceptsCompressedPlan(request.acceptsCompressedPlan);
-    return toThriftBytes(message);
-}
-
-Result<FleetSnapshotRequest> decodeFleetSnapshotRequest(std::string_view bytes, const std::string &peer)
-{
-    const auto message = fromThriftBytes<wire::FleetSnapshotRequest>(bytes, "fleet_snapshot_request.decode", peer);
-    if (!message) {
-        return Failure(message.error());
-    }
-    FleetSnapshotRequest request;
-    request.sender = NodeId(message->sender);
-    request.acceptsCompressedPlan = message->acceptsCompressedPlan;
-    if (message->planVersion != NotRequested) {
-        request.planVersion = ConfigurationVersion(message->planVersion);
-    }
-    if (message->serversVersion != NotRequested) {
-        request.serversVersion = StorePosition::unpack(message->serversVersion);
-    }
-    return request;
-}
-
-std::string encodeFleetSnapshot(const FleetSnapshot &snapshot)
-{
-    wire::FleetSnapshot message;
-    message.planVersion = snapshot.planVersion.value();
-    message.plan = snapshot.plan;
-    message.serversVersion = snapshot.serversVersion.packed();
-    writeRows(message.servers, snapshot.servers);
-    writeRows(message.nodes, snapshot.nodes);
-    if (!snapshot.compressedPlan.empty()) {
-        message.__set_compressedPlan(snapshot.compressedPlan);
-    }
-    if (snapshot.busy) {
-        message.__set_busy(true);
-    }
-    return toThriftBytes(message);
-}
-
-Result<FleetSnapshot> decodeFleetSnapshot(std::string_view bytes, const std::string &peer)
-{
-    Result<wire::FleetSnapshot> message = fromThriftBytes<wire::FleetSnapshot>(bytes, "fleet_snapshot.decode", peer);
-    if (!message) {
-        return Failure(message.error());
-    }
-    FleetSnapshot snapshot;
-    snapshot.planVersion = ConfigurationVersion(message->planVersion);
-    snapshot.plan = std::move(message->plan);
-    snapshot.serversVersion = StorePosition::unpack(message->serversVersion);
-    readRows(snapshot.servers, message->servers);
-    readRows(snapshot.nodes, message->nodes);
-    snapshot.compressedPlan = std::move(message->compressedPlan);
-    snapshot.busy = message->busy;
-    return snapshot;
-}
-
 } // namespace apricotarch
