Pause the calls for origins of streams after the store has failed to answer

During an outage of the store each node called it every 200 ms for the origins of streams and logged each failure, so the calls grew with the fleet: 3,400 a second at 680 nodes (derived). Cause: the loop had no pause after a failure. It now waits 1 s, or 5 ms times the number of nodes, and unknown streams are refused at once meanwhile.

--- a/include/apricotarch/app/stream_origin_store.h
+++ b/include/apricotarch/app/stream_origin_store.h
@@ -59,6 +59,8 @@
     void announceBegun(const std::vector<StreamRecord> &streams);
     /// Announces all open streams when a second version appears, and now and then, since keepers may have changed.
     void announceOpen();
+    /// Logs a failed call and pauses the calls.
+    void recordFailure(const char *event, const std::string &key, const Error &error);
     /// Whether more than one version may have begun streams of a service.
     [[nodiscard]] bool hasSeveralVersions(const ServiceId &service);
 
@@ -72,6 +74,7 @@
     bool m_hasSeveralVersions = false; ///< Of any service, at the last check.
     TimePoint m_announcedAt; ///< When all open streams were last announced.
     bool m_reading = false;
+    TimePoint m_retryAt; ///< After a failed call: when the store is called again.
     std::optional<TimePoint> m_readAt; ///< When the last successful read of all rows began.
 };
 
--- a/src/app/stream_origin_store.cpp
+++ b/src/app/stream_origin_store.cpp
@@ -42,6 +42,10 @@
 /// Rows that were read this recently are not read again.
 constexpr Duration MinReadInterval = 100ms;
 
+/// Pause after a call to the store has failed. It grows with the fleet, so that all nodes try at most 200 times per second.
+constexpr Duration ShortestRetryPause = 1s;
+constexpr Duration RetryPausePerNode = 5ms;
+
 } // namespace
 
 StreamOriginStore::StreamOriginStore(FrontState &state, TableReader &tables, TableStore &rows, StreamOriginExchange &exchange)
@@ -64,18 +68,19 @@
             continue;
         }
         m_state.serviceVersions.update(m_state.backends, now);
+        const bool canCallStore = now >= m_retryAt;
         if (std::exchange(m_incarnation, m_rows.incarnation()) != m_rows.incarnation()) {
             m_versions.clear(); // A restored store may have lost the rows.
             m_shards.clear();
         }
         const std::shared_ptr<const RoutingPlan> plan = m_state.plan; // It may be replaced during a call to the store.
         const auto &services = plan->resumableServices();
-        if (!services.empty() && !m_readAt) {
+        if (!services.empty() && !m_readAt && canCallStore) {
             co_await readRows();
         }
         if (!m_state.peers.isStageController(now) || m_state.isShuttingDown()) {
             m_versions.clear();
-        } else {
+        } else if (canCallStore) {
             for (const auto &[service, timeout] : services) {
                 co_await writeVersions(service);
             }
@@ -90,7 +95,9 @@
         announceOpen();
         for (std::size_t shard = 0; shard < m_exchange.shardCount(); ++shard) {
             if (m_exchange.isWriter(shard)) {
-                co_await writeShard(shard);
+                if (m_state.clock.now() >= m_retryAt) {
+                    co_await writeShard(shard);
+                }
             } else {
                 m_shards.erase(shard);
             }
@@ -120,13 +127,16 @@
     if (m_readAt && calledAt - *m_readAt < MinReadInterval) {
         co_return;
     }
+    if (!m_reading && calledAt < m_retryAt) {
+        co_return; // The store has just failed to answer.
+    }
     if (!m_reading) {
         asio::co_spawn(m_state.executor, readRows(), LogFailure("read_stream_origins"));
     }
     const auto isReadSince = [this, calledAt] {
         return m_readAt && *m_readAt >= calledAt - MinReadInterval;
     };
-    while (!isReadSince() && m_state.clock.now() - calledAt < LongestReadWait) {
+    while (!isReadSince() && m_state.clock.now() - calledAt < LongestReadWait && m_state.clock.now() >= m_retryAt) {
         co_await m_state.clock.sleep(ReadPollInterval);
     }
 }
@@ -140,7 +150,7 @@
     const Result<RowBatch> batch = co_await m_tables.readTable(OriginsTable);
     m_reading = false;
     if (!batch) {
-        LogEvent("stream_origins.not_read", LogEvent::Level::Warning).error(batch.error());
+        recordFailure("stream_origins.not_read", OriginsTable, batch.error());
         co_return;
     }
     m_readAt = startedAt;
@@ -184,7 +194,7 @@
     RowWrite write{{OriginsTable, key}, row.position, text, std::nullopt};
     const Result<StorePosition> written = co_await m_rows.write(std::move(write));
     if (!written) {
-        LogEvent("stream_origins.not_written", LogEvent::Level::Warning).field("key", key).error(written.error());
+        recordFailure("stream_origins.not_written", key, written.error());
         row = OwnRow(); // It may have been written nevertheless, or by another process.
         co_return;
     }
@@ -200,7 +210,7 @@
     if (!row.isRead) {
         const Result<std::optional<std::string>> text = co_await readOwnRow(key, row);
         if (!text) {
-            LogEvent("stream_origins.not_read", LogEvent::Level::Warning).field("key", key).error(text.error());
+            recordFailure("stream_origins.not_read", key, text.error());
             co_return;
         }
     }
@@ -225,7 +235,7 @@
     if (!row.isRead) {
         const Result<std::optional<std::string>> text = co_await readOwnRow(key, row);
         if (!text) {
-            LogEvent("stream_origins.not_read", LogEvent::Level::Warning).field("key", key).error(text.error());
+            recordFailure("stream_origins.not_read", key, text.error());
             co_return;
         }
         if (const Result<std::vector<StreamRecord>> records = decodeStreamRecords(text->value_or(encodeStreamRecords({})))) {
@@ -245,6 +255,14 @@
     }
 }
 
+void StreamOriginStore::recordFailure(const char *event, const std::string &key, const Error &error)
+{
+    const auto nodes = static_cast<int>(m_state.peers.countBudgetNodes(m_state.clock.now()));
+    m_retryAt = m_state.clock.now() + std::max<Duration>(ShortestRetryPause, RetryPausePerNode * nodes);
+    m_state.metrics.increment(CounterFamily::Peers, event);
+    LogEvent(event, LogEvent::Level::Warning).field("key", key).error(error);
+}
+
 bool StreamOriginStore::hasSeveralVersions(const ServiceId &service)
 {
     const TimePoint from = m_state.clock.now() - streamLifetime(*m_state.plan, service);
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -642,6 +642,7 @@
         const auto rows = first->tables.rows;
         second = std::make_unique<Node>(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
         second->tables.rows = rows;
+        second->tables.failing = first->tables.failing;
         second->tables.rows[ServersTable] = servers;
         simulation.advance(2s);
     }
@@ -699,6 +700,18 @@
     BOOST_TEST(findVersion("r9") == "v1");
 }
 
+BOOST_FIXTURE_TEST_CASE(has_a_silent_store_called_five_times_a_second, RestartedFleet)
+{
+    startFirst({row("i-1", "rv1", 2), row("i-2", "rv1.1", 3)});
+    first->tables.failing["apricotarch-streams"] = ErrorId::StoreUnavailable;
+    startSecond({row("i-1", "rv1", 2), row("i-2", "rv1.1", 3)});
+    const int before = second->tables.fullReads["apricotarch-streams"];
+    for (int elapsed = 0; elapsed < 10; ++elapsed) {
+        simulation.advance(1s);
+    }
+    BOOST_TEST(second->tables.fullReads["apricotarch-streams"] - before <= 10);
+}
+
 BOOST_FIXTURE_TEST_CASE(is_not_taken_for_one_of_the_present_version_if_the_store_does_not_tell, RestartedFleet)
 {
     startFirst({row("i-1", "rv1", 2)});
