--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -228,6 +228,12 @@
         return declinesUntil > now;
     }
 
+    /// Whether the server can execute a request as a whole. Prefill engines only prepare it for another engine.
+    [[nodiscard]] bool executesRequests() const noexcept
+    {
+        return record.stage != EngineStage::Prefill;
+    }
+
     /// Whether the server limits the request rate of all nodes together.
     [[nodiscard]] bool limitsRequestRate() const noexcept
     {
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -218,7 +218,7 @@
         return server->load().requests >= server->record.slots;
     };
     const bool hasFreeServer = std::ranges::any_of(servers, [&](const BackendPointer &server) {
-        return !isFull(server) && server->record.stage != EngineStage::Prefill && !m_triedServers.contains(server->record.id);
+        return !isFull(server) && server->executesRequests() && !m_triedServers.contains(server->record.id);
     });
     if (hasFreeServer) {
         std::erase_if(servers, isFull);
--- a/src/app/request_forwarder_version.cpp
+++ b/src/app/request_forwarder_version.cpp
@@ -32,11 +32,6 @@
     return std::max({ShortestPatience, byLatency, PatienceInTargetGaps * Duration(route.targetGap)}) - PatienceMargin;
 }
 
-bool executesRequests(const BackendPointer &server)
-{
-    return server->record.stage != EngineStage::Prefill;
-}
-
 } // namespace
 
 asio::awaitable<bool> RequestForwarder::refuseUnknownOrigin()
@@ -74,10 +69,10 @@
     }
     const std::vector<BackendPointer> servers = m_state.backends.selectUsable(m_serviceId, now);
     const auto hasVersion = [this](const BackendPointer &server) {
-        return executesRequests(server) && server->record.softwareVersion == *m_streamVersion;
+        return server->executesRequests() && server->record.softwareVersion == *m_streamVersion;
     };
     const auto hasOtherVersion = [this](const BackendPointer &server) {
-        return executesRequests(server) && server->record.softwareVersion != *m_streamVersion;
+        return server->executesRequests() && server->record.softwareVersion != *m_streamVersion;
     };
     return std::ranges::any_of(servers, hasVersion) && std::ranges::any_of(servers, hasOtherVersion);
 }
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -17,10 +17,9 @@
 constexpr Duration MinRateReportInterval = std::chrono::seconds(1); ///< Statements of a server are passed on at least this far apart.
 constexpr std::chrono::seconds RemovedRetention{30}; ///< Longer than any answer that may still be in progress.
 
-/// Whether a server can execute a request as a whole. Prefill engines only prepare it for another engine.
 bool executesRequests(const BackendPointer &backend)
 {
-    return backend->record.stage != EngineStage::Prefill;
+    return backend->executesRequests();
 }
 
 } // namespace
--- a/tests/src/unit-stream_versions.cpp
+++ b/tests/src/unit-stream_versions.cpp
@@ -19,7 +19,7 @@
 }
 
 /// The rest of a stream after the event that a caller or a node has received last.
-std::string takeUp(const std::string &id, const std::string &resumed, int lastEvent)
+std::string resumeRequest(const std::string &id, const std::string &resumed, int lastEvent)
 {
     return planRequest(id, "Resumes: " + resumed + "\r\nLast-Event-Id: " + std::to_string(lastEvent) + "\r\n");
 }
@@ -88,7 +88,7 @@
     BOOST_TEST(fixture.other.targets.empty());
 }
 
-BOOST_AUTO_TEST_CASE(is_taken_up_by_its_caller_at_another_software_version)
+BOOST_AUTO_TEST_CASE(is_resumed_by_its_caller_at_another_software_version)
 {
     NodeWithTwoVersions fixture([](const RequestHead &head, const std::string &) {
         return head.headers.value("Last-Event-Id").empty() ? brokenStream(head) : restOfStream(head);
@@ -97,7 +97,7 @@
     setBusy(fixture.node, "old", true);
     setBusy(fixture.node, "new", false);
     const std::size_t before = fixture.other.targets.size();
-    const std::string answer = fixture.node.sendRequest(takeUp("r2", "r1", 2), "0\r\n\r\n");
+    const std::string answer = fixture.node.sendRequest(resumeRequest("r2", "r1", 2), "0\r\n\r\n");
     BOOST_TEST(answer.find(event(3)) != std::string::npos);
     BOOST_TEST(answer.find(event(4)) != std::string::npos);
     BOOST_TEST(fixture.other.targets.size() == before);
@@ -129,7 +129,7 @@
     (void)fixture.node.sendRequest(planRequest("r1"), "0\r\n\r\n");
     fixture.old.end();
     const std::size_t before = fixture.other.targets.size();
-    CallerProbe caller(fixture.node, takeUp("r2", "r1", 2));
+    CallerProbe caller(fixture.node, resumeRequest("r2", "r1", 2));
     fixture.node.runFor(600ms);
     BOOST_TEST(caller.answer.empty());
     ScriptedServer restarted(fixture.node.loop, script);
@@ -150,12 +150,12 @@
     (void)fixture.node.sendRequest(planRequest("r1"), "0\r\n\r\n");
     fixture.old.end();
     const auto startedAt = std::chrono::steady_clock::now();
-    BOOST_TEST(fixture.node.sendRequest(takeUp("r2", "r1", 2), "}").starts_with("HTTP/1.1 503"));
+    BOOST_TEST(fixture.node.sendRequest(resumeRequest("r2", "r1", 2), "}").starts_with("HTTP/1.1 503"));
     BOOST_TEST((std::chrono::steady_clock::now() - startedAt < 2500ms));
     // A server that has left does not come back.
     fixture.node.state.backends.remove(ReplicaId("old"), fixture.node.state.clock.now() - 2s);
     const auto leftAt = std::chrono::steady_clock::now();
-    BOOST_TEST(fixture.node.sendRequest(takeUp("r3", "r1", 2), "}").starts_with("HTTP/1.1 503"));
+    BOOST_TEST(fixture.node.sendRequest(resumeRequest("r3", "r1", 2), "}").starts_with("HTTP/1.1 503"));
     BOOST_TEST((std::chrono::steady_clock::now() - leftAt < 500ms));
 }
 
