--- a/tests/fakes/free_port.h
+++ b/tests/fakes/free_port.h
@@ -16,8 +16,8 @@
 namespace apricotarch::fakes
 {
 
-/// Returns a loopback port that is free for TCP and UDP. It is below the range from which the system takes the ports of outgoing connections,
-/// so that none of another test process takes it before it is bound.
+/// Returns a loopback port that is free for TCP and UDP. It is below the range from which the system takes the ports of outgoing
+/// connections, so that none of another test process takes it before it is bound.
 inline std::uint16_t findFreePort()
 {
     constexpr unsigned FirstPort = 20'000;
--- a/tests/fakes/test_node.h
+++ b/tests/fakes/test_node.h
@@ -207,6 +207,37 @@
     std::vector<std::unique_ptr<ScriptedServer>> servers;
 };
 
+/// A node with a partial view and 48 engines, which compares three groups of engines for a prompt: each that it asks for its load is
+/// busier.
+class NodeWithEngineGroups : public TestNode
+{
+public:
+    /// @param atLastGroup called when the load of the last group is asked for, after an engine of an earlier one was selected
+    explicit NodeWithEngineGroups(std::function<void()> atLastGroup)
+        : TestNode(0)
+    {
+        for (int index = 0; index < 48; ++index) {
+            addEngine(("i-" + std::to_string(index)).c_str(), EngineStage::Decode, [this](const RequestHead &head, const std::string &) {
+                ++sent;
+                return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+            });
+        }
+        state.refreshGroupLoad = [this, atLastGroup = std::move(atLastGroup)](const EngineGroupQuery &query) -> asio::awaitable<void> {
+            ++queries;
+            for (const BackendPointer &engine : state.engineGroups.find(query.service, query.group)->engines) {
+                engine->remoteLoad.promptTokens = queries == 1 ? 10'000 : 20'000;
+            }
+            if (queries == 3) {
+                atLastGroup();
+            }
+            co_return;
+        };
+    }
+
+    int sent = 0; ///< Requests that the engines got.
+    int queries = 0; ///< Groups whose load was asked for.
+};
+
 /// A caller that collects the answer to one request while the test does something else.
 class CallerProbe
 {
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1142,31 +1142,15 @@
 BOOST_AUTO_TEST_CASE(gets_no_request_that_was_placed_before_it_declined)
 {
     // The load of a second group of engines is asked for after an engine of the first one was selected.
-    TestNode node(0);
-    int sent = 0;
-    for (int index = 0; index < 48; ++index) {
-        node.addEngine(("i-" + std::to_string(index)).c_str(), EngineStage::Decode, [&sent](const RequestHead &head, const std::string &) {
-            ++sent;
-            return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
-        });
-    }
-    int queries = 0;
-    node.state.refreshGroupLoad = [&](const EngineGroupQuery &query) -> asio::awaitable<void> {
-        ++queries;
-        for (const BackendPointer &engine : node.state.engineGroups.find(query.service, query.group)->engines) {
-            engine->remoteLoad.promptTokens = queries == 1 ? 10'000 : 20'000;
+    NodeWithEngineGroups node([&node] {
+        const TimePoint now = node.state.clock.now();
+        for (const auto &[id, engine] : node.state.backends.all()) {
+            node.state.backends.recordDecline(id, now, now + 30s);
         }
-        if (queries == 3) {
-            const TimePoint now = node.state.clock.now();
-            for (const auto &[id, engine] : node.state.backends.all()) {
-                node.state.backends.recordDecline(id, now, now + 30s);
-            }
-        }
-        co_return;
-    };
+    });
     BOOST_TEST(node.sendRequest(LongPromptRequest, "\r\n\r\n").starts_with("HTTP/1.1 503"));
-    BOOST_TEST(queries == 3);
-    BOOST_TEST(sent == 0);
+    BOOST_TEST(node.queries == 3);
+    BOOST_TEST(node.sent == 0);
 }
 
 BOOST_AUTO_TEST_CASE(finishes_the_requests_that_it_runs)
--- a/tests/src/unit-request_rate_limits.cpp
+++ b/tests/src/unit-request_rate_limits.cpp
@@ -239,32 +239,16 @@
 BOOST_AUTO_TEST_CASE(gets_requests_that_were_placed_before_the_limit_was_known)
 {
     // The load of a second group of engines is asked for after an engine of the first one was selected.
-    TestNode node(0);
-    int sent = 0;
-    for (int index = 0; index < 48; ++index) {
-        node.addEngine(("i-" + std::to_string(index)).c_str(), EngineStage::Decode, [&sent](const RequestHead &head, const std::string &) {
-            ++sent;
-            return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
-        });
-    }
-    int queries = 0;
-    node.state.refreshGroupLoad = [&](const EngineGroupQuery &query) -> asio::awaitable<void> {
-        ++queries;
-        for (const BackendPointer &engine : node.state.engineGroups.find(query.service, query.group)->engines) {
-            engine->remoteLoad.promptTokens = queries == 1 ? 10'000 : 20'000;
+    NodeWithEngineGroups node([&node] {
+        const TimePoint now = node.state.clock.now();
+        for (const auto &[id, engine] : node.state.backends.all()) {
+            node.state.backends.recordRequestRate(id, now, 0.5, now);
         }
-        if (queries == 3) {
-            const TimePoint now = node.state.clock.now();
-            for (const auto &[id, engine] : node.state.backends.all()) {
-                node.state.backends.recordRequestRate(id, now, 0.5, now);
-            }
-            updateRateShares(node.state);
-        }
-        co_return;
-    };
+        updateRateShares(node.state);
+    });
     BOOST_TEST(node.sendRequest(LongPromptRequest, "\r\n\r\n").starts_with("HTTP/1.1 503"));
-    BOOST_TEST(queries == 3);
-    BOOST_TEST(sent == 0);
+    BOOST_TEST(node.queries == 3);
+    BOOST_TEST(node.sent == 0);
 }
 
 BOOST_AUTO_TEST_CASE(gets_retries_beyond_its_limit)
