Keep the ports of test servers that have ended

ctest failed in two tests at once: silent_server/.../if_the_next_server_cannot_be_reached and request_rate_limits/.../gets_requests_that_were_ placed_before_the_limit_was_known. Cause: the first asks a server that has ended; the system had given its port to the acceptor of the second, in another process, which then served the first's request (r3 /plan/ in its log) in place of its own caller's (0 of 3 load queries after 10 s). Class: an address that is used after it was given back.

A scripted server now keeps a second socket bound to its port, so that connections are refused and nobody else gets the port. Checks are unchanged.

--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -40,15 +40,22 @@
     using Script = std::function<ScriptedAnswer(const RequestHead &head, const std::string &body)>;
 
     ScriptedServer(boost::asio::io_context &loop, Script script)
-        : m_acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0})
+        : m_reservation(loop, boost::asio::ip::tcp::v4())
+        , m_acceptor(loop, boost::asio::ip::tcp::v4())
         , m_script(std::move(script))
     {
+        // Both sockets allow the reuse of the address, so that both can be bound to the port.
+        m_reservation.set_option(boost::asio::socket_base::reuse_address(true));
+        m_reservation.bind({boost::asio::ip::address_v4::loopback(), 0});
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        m_acceptor.bind(m_reservation.local_endpoint());
+        m_acceptor.listen();
         accept();
     }
 
     [[nodiscard]] Endpoint endpoint() const
     {
-        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        return {"127.0.0.1", m_reservation.local_endpoint().port()};
     }
 
     /// Resets all connections.
@@ -63,7 +70,7 @@
         }
     }
 
-    /// Resets all connections and accepts no more, like a process that ends.
+    /// Resets all connections and refuses new ones, like a process that ends. No other process gets the port.
     void end()
     {
         boost::system::error_code ignored;
@@ -178,6 +185,7 @@
         });
     }
 
+    Socket m_reservation; ///< Keeps the port after the end of the server.
     boost::asio::ip::tcp::acceptor m_acceptor;
     Script m_script;
     std::vector<std::weak_ptr<Connection>> m_connections;
--- a/tests/src/unit-http.cpp
+++ b/tests/src/unit-http.cpp
@@ -13,6 +13,7 @@
 #include "apricotarch/transport/engine_client.h"
 #include "apricotarch/transport/http_client.h"
 #include "apricotarch/transport/http_server.h"
+#include "fakes/free_port.h"
 
 using namespace apricotarch;
 using namespace std::chrono_literals;
@@ -25,9 +26,7 @@
 /// Returns a loopback address with a port that is currently unused.
 Endpoint freeEndpoint()
 {
-    boost::asio::io_context loop;
-    tcp::acceptor acceptor(loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
+    return {"127.0.0.1", fakes::findFreePort()};
 }
 
 /// A server with small size limits whose answer depends on the path of the request.
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -869,7 +869,7 @@
     node.addServer("unreachable", [](const RequestHead &, const std::string &) {
         return ScriptedAnswer{};
     });
-    node.servers.pop_back();
+    node.servers.back()->end();
     node.runFor(1500ms);
     BOOST_TEST((node.state.backends.find(ReplicaId("unreachable"))->failures > 0));
     BOOST_TEST(caller.answer.find(event(2)) != std::string::npos);
--- a/tests/src/unit-silent_server.cpp
+++ b/tests/src/unit-silent_server.cpp
@@ -144,8 +144,7 @@
     BegunStream stream([](const RequestHead &head, const std::string &) {
         return pausedStream(head);
     });
-    stream.node.addServer("second", decline);
-    stream.node.servers.pop_back();
+    stream.node.addServer("second", decline).end();
     stream.run();
     checkWhole(stream.caller.answer);
     BOOST_TEST((stream.node.state.backends.find(ReplicaId("second"))->failures > 0));
