Count the grace period of removed servers from when they may have been removed

Cause: two waits added up. Nodes took the dead readers for alive for 1.5 s and checked every 0.3 s whether they had to read the store. The grace period of 1.5 s, for which the last server of a service may still be used after its removal, then began when the node learned of the removal.

The new test of the synchronizer failed before: the server was usable 2 s after its removal.

Change: a node knows up to which time its table of servers agrees with the store (TableCurrency), from the store's answers and from the age that other nodes state in their heartbeats. The grace period counts from that time, or from now if the store has not answered since, since its purpose are entries that expired during an outage. In small fleets a reader counts as dead after 0.6 s without heartbeats, at most after 1.5 s as before, and others check every 0.1 s.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -188,6 +188,8 @@
   28: optional UsageCollectors usageCollectors
   /// Limits of servers' request rates, as far as the sender knows.
   29: optional list<RateStatement> rateStatements
+  /// Time since the sender's table of servers is known to have agreed with the store; missing if it has not been read.
+  30: optional i32 serversAgeMs
 }
 
 /// Update of the sender's load at one engine, sent immediately when the load changes considerably. It is sent in one UDP datagram.
--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -76,6 +76,8 @@
     /// Records the incarnation of the store that the store itself or a peer has reported. @param source either, for the log
     void recordStoreIncarnation(StoreIncarnation incarnation, const char *source);
     [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
+    /// Applies rows of the servers' table that the store has answered with. @param calledAt when the call was made
+    void applyServerBatch(const RowBatch &batch, bool isFullTable, TimePoint calledAt);
     /// Reads a table's changes by a long poll. A late answer gives up the poll of the other table, too.
     [[nodiscard]] asio::awaitable<Result<RowBatch>> pollChanges(Table table, StorePosition version);
 
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -24,6 +24,7 @@
 #include "apricotarch/state/prefix_cache.h"
 #include "apricotarch/state/request_rate_share.h"
 #include "apricotarch/state/request_rate_statement.h"
+#include "apricotarch/state/table_currency.h"
 
 namespace apricotarch
 {
@@ -225,7 +226,7 @@
 class BackendTable
 {
 public:
-    /// How long a removed server may still be used if its service has no other. An entry that expired during an outage of the
+    /// How long after its removal a server may still be used if its service has no other. An entry that expired during an outage of the
     /// store is written again within two seconds after the store's recovery.
     static constexpr std::chrono::milliseconds RemovedServerGracePeriod{1500};
 
@@ -263,8 +264,13 @@
     /// Records what another node has learned from answers of a server's current process. @return whether the limit has changed
     bool mergeRequestRate(const ReportedRequestRate &report, TimePoint now);
 
-    /// Marks a server as removed after its entry was removed.
-    void remove(const ReplicaId &id, TimePoint now);
+    /**
+     * Marks a server as removed after its entry was removed.
+     * @param id the server
+     * @param now current time
+     * @param missingSince since when its entry may have been missing; by default, since the table was last known to be current
+     */
+    void remove(const ReplicaId &id, TimePoint now, std::optional<TimePoint> missingSince = std::nullopt);
 
     /// Replaces the table by a full list of entries; servers without an entry are marked as removed.
     void replaceAll(const std::vector<BackendRecord> &records, TimePoint now);
@@ -275,8 +281,19 @@
     /// Sets the cache capacity in tokens of each engine of a service.
     void resizeCaches(const ServiceId &service, std::int64_t tokens);
 
+    /// Up to which time the table agrees with the store.
+    [[nodiscard]] TableCurrency &currency() noexcept
+    {
+        return m_currency;
+    }
+
     // ---- views ----
 
+    [[nodiscard]] const TableCurrency &currency() const noexcept
+    {
+        return m_currency;
+    }
+
     /// Returns a server by its id, or null if there is none.
     [[nodiscard]] BackendPointer find(const ReplicaId &id) const;
 
@@ -319,6 +336,7 @@
     std::map<ReplicaId, BackendPointer> m_backends;
     std::unordered_map<ServiceId, std::vector<BackendPointer>> m_byService;
     std::unordered_map<ServiceId, std::int64_t> m_cacheTokens;
+    TableCurrency m_currency;
     std::uint64_t m_revision = 0;
 };
 
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -128,6 +128,7 @@
     bool shuttingDown = false; ///< Is shutting down.
     ConfigurationVersion planVersion; ///< The operator's version of the configuration that the sender has in force.
     StorePosition serversVersion; ///< Position up to which the sender has read the table of servers.
+    std::optional<std::chrono::milliseconds> serversAge; ///< Time since that table agreed with the store, see TableCurrency.
     std::vector<ServerLoad> loads;
     std::vector<SentPrompt> sentPrompts;
     std::vector<CrashRecord> crashRecords;
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -189,6 +189,9 @@
     heartbeat.shuttingDown = m_state.isShuttingDown();
     heartbeat.planVersion = m_fleetTables.planVersion();
     heartbeat.serversVersion = m_fleetTables.serversVersion();
+    if (const std::optional<TimePoint> time = m_state.backends.currency().currentAsOf()) {
+        heartbeat.serversAge = std::chrono::ceil<std::chrono::milliseconds>(now - *time);
+    }
     heartbeat.timerLag = m_loopLag;
     heartbeat.readsStore =
         m_storeReachable && !m_storeCallFailed[0] && !m_storeCallFailed[1] && m_state.serversLoaded && m_state.peers.shouldReadStore(now);
--- a/src/app/fleet_synchronizer_messages.cpp
+++ b/src/app/fleet_synchronizer_messages.cpp
@@ -88,6 +88,9 @@
     if (heartbeat.serversVersion != StorePosition()) {
         recordStoreIncarnation(heartbeat.serversVersion.incarnation(), "peer");
     }
+    if (heartbeat.serversAge && heartbeat.serversVersion == m_fleetTables.serversVersion()) {
+        m_state.backends.currency().recordCurrent(now - *heartbeat.serversAge);
+    }
     if (m_usage != nullptr) {
         m_usage->handle(heartbeat);
     }
--- a/src/app/fleet_synchronizer_store.cpp
+++ b/src/app/fleet_synchronizer_store.cpp
@@ -20,7 +20,13 @@
 constexpr Duration ServerChangesPause = 250ms;
 
 /// Interval at which a node that does not read the store checks whether it has to.
-constexpr Duration FollowerPollInterval = 300ms;
+constexpr Duration FollowerPollInterval = 100ms;
+
+/// A poll that took longer was held by the store, which answers at once if there are changes.
+constexpr Duration ImmediateAnswerTime = 100ms;
+
+/// Polls that follow the answer before within this time leave out no considerable span. It exceeds ServerChangesPause.
+constexpr Duration LongestPollGap = 500ms;
 
 /// Interval at which a node that reads the store checks whether it can still be reached. A long poll shows that only at its end.
 constexpr Duration ReachabilityCheckInterval = 600ms;
@@ -49,6 +55,7 @@
             version = StorePosition();
         }
         const bool isFullTable = !version.exists();
+        const TimePoint calledAt = m_state.clock.now();
         const Result<RowBatch> batch = co_await readTable(table, pause > FirstRetryPause);
         if (batch) {
             recordStoreIncarnation(batch->version.incarnation(), "store");
@@ -59,7 +66,7 @@
             if (table == Table::Plan) {
                 m_fleetTables.applyPlanRows(batch->rows);
             } else {
-                m_fleetTables.applyServerRows(batch->rows, batch->version, isFullTable);
+                applyServerBatch(*batch, isFullTable, calledAt);
             }
             version = std::max(version, batch->version);
             if (table == Table::Servers && !batch->rows.empty()) {
@@ -78,6 +85,18 @@
     }
 }
 
+void FleetSynchronizer::applyServerBatch(const RowBatch &batch, bool isFullTable, TimePoint calledAt)
+{
+    const TimePoint now = m_state.clock.now();
+    TableCurrency &currency = m_state.backends.currency();
+    const bool wasHeld = !isFullTable && now - calledAt > ImmediateAnswerTime;
+    if (wasHeld && currency.isCurrentSince(calledAt - LongestPollGap)) {
+        currency.recordCurrent(now); // The rows have just changed.
+    }
+    m_fleetTables.applyServerRows(batch.rows, batch.version, isFullTable);
+    currency.recordCurrent(now);
+}
+
 asio::awaitable<Result<RowBatch>> FleetSynchronizer::readTable(Table table, bool recovering)
 {
     const std::string &name = table == Table::Plan ? m_fleetTables.decoders().planTable : m_fleetTables.decoders().serversTable;
@@ -151,6 +170,9 @@
 void FleetSynchronizer::updateStoreStatus(Table table, const Result<RowBatch> &result)
 {
     const bool failed = !result && result.error().id != ErrorId::HistoryDropped;
+    if (failed) {
+        m_state.backends.currency().recordOutage(m_state.clock.now());
+    }
     if (!result) {
         m_state.metrics.increment(CounterFamily::Configurations, std::string("store_") + errorName(result.error().id));
     }
--- a/src/app/fleet_tables.cpp
+++ b/src/app/fleet_tables.cpp
@@ -190,7 +190,7 @@
         if (!known.row.removed && known.row.version.incarnation() < m_serversVersion.incarnation()) {
             LogEvent("server.not_written_again", LogEvent::Level::Warning).field("server", key).field("row_version", known.row.version);
             replaceRow(known, {key, "", m_serversVersion, true});
-            m_state.backends.remove(ReplicaId(key), m_state.clock.now());
+            m_state.backends.remove(ReplicaId(key), m_state.clock.now(), m_restoredAt);
         }
     }
     m_state.notifyUrgentChange();
--- a/src/coordination/peer_table_reports.cpp
+++ b/src/coordination/peer_table_reports.cpp
@@ -13,6 +13,11 @@
 /// Nodes of each availability zone that read the store; with two, one of them may fail.
 constexpr std::size_t StoreReadersPerZone = 2;
 
+/// A node of a full mesh counts as a reader of the store until its heartbeats have been missing for this long, at most for
+/// PeerTimeouts::listTimeout. The time exceeds several intervals of heartbeats, which grow with the number of peers.
+constexpr Duration ShortestReaderTimeout = std::chrono::milliseconds(600);
+constexpr Duration ReaderTimeoutPerPeer = std::chrono::milliseconds(36);
+
 /// If fewer live peers than this read the store, every node reads it itself.
 constexpr std::size_t MinStoreReaders = 2;
 
@@ -100,10 +105,12 @@
 
 bool PeerTable::shouldReadStoreInMesh(TimePoint now) const
 {
+    const Duration byPeers = ReaderTimeoutPerPeer * static_cast<int>(m_peers.size());
+    const Duration timeout = std::min(std::max(byPeers, ShortestReaderTimeout), m_timeouts.listTimeout);
     std::size_t precedingInZone = 0;
     std::size_t storeReaders = 0;
     for (const auto &[address, peer] : m_peers) {
-        if (!hasRecentHeartbeat(peer, m_timeouts.listTimeout, now) || peer.heartbeat.shuttingDown) {
+        if (!hasRecentHeartbeat(peer, timeout, now) || peer.heartbeat.shuttingDown) {
             continue;
         }
         precedingInZone += isInOwnZone(peer) && peer.heartbeat.node < m_self.node ? 1 : 0;
--- a/src/protocol/front_codec.cpp
+++ b/src/protocol/front_codec.cpp
@@ -149,6 +149,10 @@
     message.leaving = heartbeat.shuttingDown;
     message.planVersion = heartbeat.planVersion.value();
     message.serversVersion = heartbeat.serversVersion.packed();
+    if (heartbeat.serversAge) {
+        message.__set_serversAgeMs(
+            static_cast<std::int32_t>(std::min<std::int64_t>(heartbeat.serversAge->count(), std::numeric_limits<std::int32_t>::max())));
+    }
     message.lagMicros = heartbeat.timerLag.count();
     message.readsStore = heartbeat.readsStore;
     message.knownNodes = static_cast<std::int32_t>(heartbeat.knownNodes);
@@ -277,6 +281,9 @@
     heartbeat.shuttingDown = message.leaving;
     heartbeat.planVersion = ConfigurationVersion(message.planVersion);
     heartbeat.serversVersion = StorePosition::unpack(message.serversVersion);
+    if (message.__isset.serversAgeMs) {
+        heartbeat.serversAge = std::chrono::milliseconds(std::max(message.serversAgeMs, 0));
+    }
     heartbeat.readsStore = message.readsStore;
     heartbeat.timerLag = std::chrono::microseconds(message.lagMicros);
     heartbeat.knownNodes = static_cast<std::size_t>(std::max(message.knownNodes, 1));
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -166,7 +166,7 @@
     return sentSince || connectedSince ? backend : nullptr;
 }
 
-void BackendTable::remove(const ReplicaId &id, TimePoint now)
+void BackendTable::remove(const ReplicaId &id, TimePoint now, std::optional<TimePoint> missingSince)
 {
     const auto found = m_backends.find(id);
     if (found == m_backends.end() || found->second->record.state == BackendState::Removed) {
@@ -175,7 +175,8 @@
     Backend &backend = *found->second;
     // A server that has announced its shutdown does not return, so it gets no grace period after its removal.
     const bool wasShuttingDown = backend.record.state == BackendState::Draining || backend.statesShutdown();
-    backend.removedAt = wasShuttingDown ? now - RemovedServerGracePeriod : now;
+    const TimePoint graceEnded = now - RemovedServerGracePeriod;
+    backend.removedAt = wasShuttingDown ? graceEnded : std::max(missingSince.value_or(m_currency.missingSince(now)), graceEnded);
     backend.record.state = BackendState::Removed;
     ++m_revision;
 }
--- a/tests/src/unit-backend_table.cpp
+++ b/tests/src/unit-backend_table.cpp
@@ -243,6 +243,27 @@
     BOOST_TEST(table.selectUsable(Service, Start + 1s + BackendTable::RemovedServerGracePeriod).empty());
 }
 
+BOOST_AUTO_TEST_CASE(are_not_used_for_longer_if_their_removal_is_learned_of_late)
+{
+    BackendTable table;
+    table.update(record("a"), Start);
+    table.currency().recordCurrent(Start);
+    table.remove(ReplicaId("a"), Start + 1s);
+    BOOST_TEST(table.selectUsable(Service, Start + 1s).size() == 1U);
+    BOOST_TEST(table.selectUsable(Service, Start + BackendTable::RemovedServerGracePeriod).empty());
+}
+
+BOOST_AUTO_TEST_CASE(are_used_for_the_whole_time_if_the_store_has_not_answered)
+{
+    BackendTable table;
+    table.update(record("a"), Start);
+    table.currency().recordCurrent(Start);
+    table.currency().recordOutage(Start + 5s);
+    table.remove(ReplicaId("a"), Start + 6s);
+    BOOST_TEST(table.selectUsable(Service, Start + 6s + BackendTable::RemovedServerGracePeriod - 1ms).size() == 1U);
+    BOOST_TEST(table.selectUsable(Service, Start + 6s + BackendTable::RemovedServerGracePeriod).empty());
+}
+
 BOOST_AUTO_TEST_CASE(are_not_used_if_there_is_a_registered_one)
 {
     BackendTable table;
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -523,6 +523,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(a_server_that_is_gone_is_not_used_for_longer_after_the_nodes_that_read_the_store_have_ended)
+{
+    // Two waits added up, until the nodes are found dead and for servers whose entries have expired: 13 requests more than 2 s after the
+    // removal.
+    constexpr Duration Bound = 2s;
+    Simulation simulation;
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (const auto &[name, host] :
+        {std::pair("a", "127.0.0.1"), std::pair("b", "127.0.0.2"), std::pair("c", "127.0.0.3"), std::pair("d", "127.0.0.4")}) {
+        nodes.push_back(std::make_unique<Node>(simulation.eventLoops, simulation.clock, simulation.peerPort, name, host));
+        nodes.back()->tables.rows[PlanTable] = {row("config", "3", 1)};
+        nodes.back()->tables.rows[ServersTable] = {row("i-1", "r", 2)};
+    }
+    for (int second = 0; second < 5; ++second) {
+        simulation.advance(1s);
+    }
+    for (const std::size_t reader : {0, 1}) {
+        nodes[reader]->authenticator = MessageAuthenticator("of no other node, 16 characters"); // As if it had ended.
+    }
+    for (const std::size_t other : {2, 3}) {
+        BOOST_TEST(usableServers(*nodes[other], simulation.clock.now()).size() == 1U);
+        nodes[other]->tables.version = StorePosition(3);
+        nodes[other]->tables.rows[ServersTable] = {{"i-1", "", StorePosition(3), true}};
+    }
+    simulation.advance(Bound);
+    for (const std::size_t other : {2, 3}) {
+        BOOST_TEST(usableServers(*nodes[other], simulation.clock.now()).empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_leaves_is_learned_of_while_the_configuration_is_still_being_transferred)
 {
     // Servers' rows travelled behind a large configuration in one message; requests reached servers 3.3 s after they had announced their
