Pass on the crashes that other nodes have observed

Cause: in a full mesh, heartbeats held only the crashes that the sender had observed itself. Once the observer had been restarted nobody told it, and after the others had been, nobody knew.

The new test of the synchronizer failed before: a node that starts after the observer has ended does not refuse the request.

Change: all nodes pass all records on, at most 32 in a heartbeat: changed ones first, then quarantined ones, then the others in turn. The time of the crash travels with them; records near their end are not passed on, so none is kept alive by being passed around. Clearances are compared with crashes by their times and kept as long as the records that they clear, so a node that was cut off does not bring these back, and a clearance does not hide a later crash. The same for the nodes of `serve`.

The tests of language calls use the renamed function; what they check has not changed.

--- a/include/apricotarch/coordination/crash_tracker.h
+++ b/include/apricotarch/coordination/crash_tracker.h
@@ -24,13 +24,22 @@
 {
     Duration suspectPeriod = std::chrono::minutes(2); ///< How long requests with the same content stay suspects.
     Duration quarantinePeriod = std::chrono::minutes(10); ///< How long requests with the same content stay quarantined.
-    Duration clearancePeriod = std::chrono::seconds(30); ///< How long a clearance is sent to other nodes.
+    /// How long a clearance is kept and sent to other nodes: until every record that it clears has expired.
+    Duration clearancePeriod = std::chrono::minutes(10);
 };
 
-/// Crash records of one node, merged with the records of other nodes. Requests are identified by the hash of their content. Thread-safe.
+/**
+ * Crash records of one node, merged with the records of other nodes. Requests are identified by the hash of their content. Thread-safe.
+ *
+ * Each node passes on all records, also those of other nodes, so that they outlive the node that observed the crash. The time of the crash
+ * is passed on with them: a record does not last longer by being passed on, and does not undo a later clearance.
+ */
 class CrashTracker
 {
 public:
+    /// Most records in one heartbeat.
+    static constexpr std::size_t MaxReportedRecords = 32;
+
     explicit CrashTracker(CrashTrackerPeriods periods);
 
     // ---- work in flight ----
@@ -66,11 +75,9 @@
 
     // ---- sharing ----
 
-    /// Returns the records of this node's own observations, to be sent to other nodes.
-    [[nodiscard]] std::vector<CrashRecord> localRecords(TimePoint now) const;
-
-    /// Returns all records, those of other nodes included, to be passed on where not every node hears from every other.
-    [[nodiscard]] std::vector<CrashRecord> records(TimePoint now) const;
+    /// Returns records for the next heartbeat: those that have changed recently, then quarantined requests, then others, so that successive
+    /// calls cycle through all. Sorts all records.
+    [[nodiscard]] std::vector<CrashRecord> nextReports(TimePoint now);
 
     /// Merges the records of another node into the records of this node. @return whether a record has changed
     bool mergeRecords(const std::vector<CrashRecord> &records, TimePoint now);
@@ -85,11 +92,15 @@
     struct Record
     {
         int crashes = 0; ///< 0 after a clearance.
-        TimePoint expiresAt;
-        bool local = false; ///< Whether this node made the observation itself.
+        TimePoint at; ///< Time of the last crash or of the clearance.
+        int reportsLeft = 0; ///< Heartbeats in which it is still reported ahead of others.
     };
 
-    [[nodiscard]] std::vector<CrashRecord> selectRecords(TimePoint now, bool onlyLocal) const;
+    /// Returns how long a record with this number of crashes is kept.
+    [[nodiscard]] Duration period(int crashes) const noexcept;
+    [[nodiscard]] TimePoint expiryTime(const Record &record) const noexcept;
+    /// Merges one record of another node. @return whether it has replaced the record of this node
+    bool mergeRecord(const CrashRecord &reported, TimePoint now);
 
     /// Returns the number of crashes in the unexpired record of this content.
     [[nodiscard]] int crashCount(ContentHash content, TimePoint now) const;
@@ -101,6 +112,7 @@
     mutable std::mutex m_mutex;
     std::map<ReplicaId, std::multiset<ContentHash>> m_running;
     std::map<ContentHash, Record> m_records;
+    ContentHash m_lastReported; ///< Up to which the records have been reported in the present cycle.
 };
 
 } // namespace apricotarch
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -209,7 +209,7 @@
     heartbeat.coordinator = coordinator.node;
     heartbeat.coordinatorAge = coordinator.age;
     heartbeat.sightings = m_state.peers.sightings(now, m_state.random);
-    heartbeat.crashRecords = m_state.peers.usesPartialView() ? m_state.crashTracker.records(now) : m_state.crashTracker.localRecords(now);
+    heartbeat.crashRecords = m_state.crashTracker.nextReports(now);
     heartbeat.partEvidence = m_state.partQuarantine.nextReports(now);
     heartbeat.requestRates = reportRequestRates(m_state.backends, now);
     if (m_usage != nullptr) {
--- a/src/coordination/crash_tracker.cpp
+++ b/src/coordination/crash_tracker.cpp
@@ -1,6 +1,8 @@
 #include "apricotarch/coordination/crash_tracker.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace apricotarch
 {
@@ -10,6 +12,13 @@
 
 constexpr int QuarantineThreshold = 2;
 
+/// Heartbeats in which a changed record is reported ahead of others, since datagrams may be lost.
+constexpr int ReportsPerChange = 3;
+
+/// Records that expire within this time are not reported. It exceeds the delay of a message, so that no record is reported back to a node
+/// at which it has just expired.
+constexpr Duration MinReportedTime = std::chrono::seconds(5);
+
 } // namespace
 
 CrashTracker::CrashTracker(CrashTrackerPeriods periods)
@@ -23,24 +32,37 @@
     m_running[replica].insert(content);
 }
 
+Duration CrashTracker::period(int crashes) const noexcept
+{
+    if (crashes == 0) {
+        return m_periods.clearancePeriod;
+    }
+    return crashes >= QuarantineThreshold ? m_periods.quarantinePeriod : m_periods.suspectPeriod;
+}
+
+TimePoint CrashTracker::expiryTime(const Record &record) const noexcept
+{
+    return record.at + period(record.crashes);
+}
+
 int CrashTracker::crashCount(ContentHash content, TimePoint now) const
 {
     const auto found = m_records.find(content);
-    return found == m_records.end() || found->second.expiresAt <= now ? 0 : found->second.crashes;
+    return found == m_records.end() || expiryTime(found->second) <= now ? 0 : found->second.crashes;
 }
 
 void CrashTracker::clear(ContentHash content, TimePoint now)
 {
     const auto found = m_records.find(content);
     if (found != m_records.end()) {
-        found->second = {0, now + m_periods.clearancePeriod, true};
+        found->second = {0, now, ReportsPerChange};
     }
 }
 
 void CrashTracker::removeExpired(TimePoint now)
 {
-    std::erase_if(m_records, [now](const auto &entry) {
-        return entry.second.expiresAt <= now;
+    std::erase_if(m_records, [this, now](const auto &entry) {
+        return expiryTime(entry.second) <= now;
     });
 }
 
@@ -68,9 +90,7 @@
     const std::lock_guard lock(m_mutex);
     removeExpired(now);
     Record &record = m_records[content];
-    record.local = true;
-    ++record.crashes;
-    record.expiresAt = now + (record.crashes >= QuarantineThreshold ? m_periods.quarantinePeriod : m_periods.suspectPeriod);
+    record = {record.crashes + 1, now, ReportsPerChange};
 }
 
 bool CrashTracker::isQuarantined(ContentHash content, TimePoint now) const
@@ -100,26 +120,51 @@
     return replicas;
 }
 
-std::vector<CrashRecord> CrashTracker::localRecords(TimePoint now) const
-{
-    return selectRecords(now, true);
-}
-
-std::vector<CrashRecord> CrashTracker::records(TimePoint now) const
+std::vector<CrashRecord> CrashTracker::nextReports(TimePoint now)
 {
-    return selectRecords(now, false);
+    using Entry = std::pair<const ContentHash, Record>;
+    const std::lock_guard lock(m_mutex);
+    std::vector<Entry *> entries;
+    const auto next = m_records.upper_bound(m_lastReported);
+    for (const auto &[begin, end] : {std::pair(next, m_records.end()), std::pair(m_records.begin(), next)}) {
+        for (auto entry = begin; entry != end; ++entry) {
+            if (expiryTime(entry->second) - now >= MinReportedTime) {
+                entries.push_back(&*entry);
+            }
+        }
+    }
+    std::ranges::stable_sort(entries, std::greater(), [](const Entry *entry) {
+        return std::pair(entry->second.reportsLeft > 0, entry->second.crashes >= QuarantineThreshold);
+    });
+    entries.resize(std::min(entries.size(), MaxReportedRecords));
+    std::vector<CrashRecord> reports;
+    for (Entry *entry : entries) {
+        auto &[content, record] = *entry;
+        record.reportsLeft = std::max(0, record.reportsLeft - 1);
+        reports.push_back({content, record.crashes, std::chrono::duration_cast<std::chrono::milliseconds>(expiryTime(record) - now)});
+        m_lastReported = content;
+    }
+    return reports;
 }
 
-std::vector<CrashRecord> CrashTracker::selectRecords(TimePoint now, bool onlyLocal) const
+bool CrashTracker::mergeRecord(const CrashRecord &reported, TimePoint now)
 {
-    const std::lock_guard lock(m_mutex);
-    std::vector<CrashRecord> records;
-    for (const auto &[content, record] : m_records) {
-        if ((record.local || !onlyLocal) && now < record.expiresAt) {
-            records.push_back({content, record.crashes, std::chrono::duration_cast<std::chrono::milliseconds>(record.expiresAt - now)});
+    const TimePoint at = now - std::max<Duration>(period(reported.crashes) - reported.remaining, Duration::zero());
+    const auto found = m_records.find(reported.content);
+    if (found != m_records.end()) {
+        const Record &known = found->second;
+        const bool isClearance = reported.crashes == 0;
+        if (isClearance != (known.crashes == 0)) {
+            // A clearance holds for the crashes before it.
+            if (isClearance ? at < known.at : at <= known.at) {
+                return false;
+            }
+        } else if (reported.crashes <= known.crashes) {
+            return false;
         }
     }
-    return records;
+    m_records[reported.content] = {reported.crashes, at, ReportsPerChange};
+    return true;
 }
 
 bool CrashTracker::mergeRecords(const std::vector<CrashRecord> &records, TimePoint now)
@@ -128,18 +173,7 @@
     removeExpired(now);
     bool changed = false;
     for (const CrashRecord &reported : records) {
-        const auto found = m_records.find(reported.content);
-        const bool cleared = found != m_records.end() && found->second.crashes == 0;
-        if (reported.crashes == 0) {
-            // The clearance is kept, since the record that it clears may still arrive from a third node.
-            if (found != m_records.end() && !cleared) {
-                found->second = {0, now + reported.remaining, false};
-                changed = true;
-            }
-        } else if (!cleared && crashCount(reported.content, now) < reported.crashes) {
-            m_records[reported.content] = {reported.crashes, now + reported.remaining, false};
-            changed = true;
-        }
+        changed = (reported.remaining >= MinReportedTime && mergeRecord(reported, now)) || changed;
     }
     return changed;
 }
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -41,7 +41,7 @@
     heartbeat.loadShare = loadShare;
     heartbeat.configuration = m_dependencies.configuration.reportedState();
     heartbeat.storeAge = m_dependencies.configuration.storeAge();
-    heartbeat.crashRecords = m_dependencies.crashes.localRecords(now);
+    heartbeat.crashRecords = m_dependencies.crashes.nextReports(now);
     heartbeat.drainingReplicas = std::move(drainingReplicas);
     for (const ReplicaView &view : m_dependencies.fleet.all()) {
         if (view.localLoad.requests > 0) {
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -253,6 +253,24 @@
     BOOST_TEST(!one.state.backends.find(id)->rateShare.isLimited());
 }
 
+BOOST_AUTO_TEST_CASE(tell_one_that_starts_later_of_a_crashing_request_though_the_one_that_saw_its_crashes_has_ended)
+{
+    // Restarts in turn made all nodes forget which request crashes servers, which then reached servers again.
+    Simulation simulation;
+    auto observer = std::make_unique<Node>(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    const Node other(simulation.eventLoops, simulation.clock, simulation.peerPort, "b", "127.0.0.2");
+    simulation.advance(2s);
+    const ContentHash content(7);
+    observer->state.crashTracker.recordCrash(ReplicaId("i-1"), content, simulation.clock.now());
+    observer->state.crashTracker.recordCrash(ReplicaId("i-2"), content, simulation.clock.now());
+    simulation.advance(1s);
+    BOOST_REQUIRE(other.state.crashTracker.isQuarantined(content, simulation.clock.now()));
+    observer->authenticator = MessageAuthenticator("of no other node, 16 characters"); // As if it had ended.
+    const Node later(simulation.eventLoops, simulation.clock, simulation.peerPort, "c", "127.0.0.3");
+    simulation.advance(2s);
+    BOOST_TEST(later.state.crashTracker.isQuarantined(content, simulation.clock.now()));
+}
+
 BOOST_AUTO_TEST_CASE(of_which_one_has_a_partial_view_and_the_other_not_keep_hearing_each_other)
 {
     // While a large fleet starts, some nodes know it already and others do not. Load updates and heartbeats count in one sequence; with
--- a/tests/src/unit-language_call.cpp
+++ b/tests/src/unit-language_call.cpp
@@ -411,8 +411,8 @@
         Collector caller;
         const LanguageCallOutcome outcome = fixture.loop.run(node.calls.execute(fixture.request("poison"), caller));
         BOOST_TEST(!outcome.answered);
-        fixture.other.crashes.mergeRecords(fixture.node.crashes.localRecords(fixture.loop.clock.now()), fixture.loop.clock.now());
-        fixture.node.crashes.mergeRecords(fixture.other.crashes.localRecords(fixture.loop.clock.now()), fixture.loop.clock.now());
+        fixture.other.crashes.mergeRecords(fixture.node.crashes.nextReports(fixture.loop.clock.now()), fixture.loop.clock.now());
+        fixture.node.crashes.mergeRecords(fixture.other.crashes.nextReports(fixture.loop.clock.now()), fixture.loop.clock.now());
         fixture.loop.advanceTime(1s);
         fixture.report();
     }
@@ -430,10 +430,10 @@
     fixture.node.crashes.recordCrash(ReplicaId("engine-2"), content, now);
     BOOST_TEST(fixture.node.crashes.isQuarantined(content, now));
     BOOST_TEST(!fixture.node.crashes.isQuarantined(content, now + CrashTrackerPeriods().quarantinePeriod));
-    fixture.other.crashes.mergeRecords(fixture.node.crashes.localRecords(now), now);
+    fixture.other.crashes.mergeRecords(fixture.node.crashes.nextReports(now), now);
     BOOST_TEST(fixture.other.crashes.isQuarantined(content, now));
     BOOST_TEST(fixture.node.crashes.release(content, now));
-    fixture.other.crashes.mergeRecords(fixture.node.crashes.localRecords(now), now);
+    fixture.other.crashes.mergeRecords(fixture.node.crashes.nextReports(now), now);
     BOOST_TEST(!fixture.other.crashes.isQuarantined(content, now));
 }
 
