Do not take a dropped connection for the end of a server's process

Cause: when the entry of a new process is read, the statements of the previous one are dropped. Its end was taken to be the last lost connection, but servers also drop idle connections. An announcement of the shutdown on a connection that was opened after that counted as the new process's, and nothing ended it: a server that shuts down gets no requests, so no answer could tell.

The new test of the synchronizer failed before: the server that had started again was not usable after 10 s.

Change: a connection that was opened more than 3 s before the table was last known to be current, with the previous process's entry, was one to that process, since servers write their entries when they start. If it remains open who has announced the shutdown, it holds until the table has been current for 5 s with the new entry ready. A confirmed announcement has no such end.

--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -143,12 +143,15 @@
     EngineStage orderedStage = EngineStage::Any; ///< Stage that this node has ordered; valid until stageChangeUntil.
     TimePoint stageChangedAt; ///< Time at which its stage was last found to have changed.
     TimePoint processKnownSince; ///< When this node learned of the server's current process.
-    /// Connections that were opened later are connections to the current process, although this node may not have known of it yet.
-    std::optional<TimePoint> previousProcessEndedAt;
+    /// Connections that were opened before were connections to the previous process. Later ones may have been to either process, until the
+    /// entry of the current one was read.
+    std::optional<TimePoint> previousProcessConnectedAt;
     std::optional<TimePoint> connectionLostAt; ///< When a connection to it was last lost or could not be opened.
     TimePoint shutdownConnectedAt; ///< When the connection was opened on which shutdownStatedAt was learned.
     TimePoint declineConnectedAt; ///< When the connection was opened on which declinesUntil was learned.
     std::optional<TimePoint> shutdownStatedAt; ///< When an answer of the current process first stated that it is shutting down.
+    /// Set if that may have been an answer of the previous process: when the entry of the current one was read.
+    std::optional<TimePoint> shutdownUnconfirmedSince;
     TimePoint declinesUntil; ///< The server wants no requests from this node until this time. Other nodes may still send some.
     RequestRateStatement rateStatement;
     RequestRateShare rateShare; ///< Requests that this node may send to it; follows from rateStatement.
@@ -210,8 +213,12 @@
         recordFailure(now);
     }
 
-    /// Called when the server's entry shows that it has started again: drops what the previous process has stated in its answers.
-    void dropStatementsOfPreviousProcess(TimePoint now);
+    /**
+     * Called when the server's entry shows that it has started again: drops what the previous process has stated in its answers.
+     * @param now current time
+     * @param tableCurrentAsOf when the table was last known to be current, with the entry of the previous process
+     */
+    void dropStatementsOfPreviousProcess(TimePoint now, std::optional<TimePoint> tableCurrentAsOf);
 
     /// Records a valid answer.
     void recordSuccess() noexcept
@@ -233,6 +240,12 @@
     /// How long a server whose answers say that it is shutting down may still be used if its service has no other.
     static constexpr std::chrono::milliseconds ShutdownGracePeriod{500};
 
+    /// A server that has started writes its entry within this time.
+    static constexpr std::chrono::milliseconds RegistrationTime{3000};
+
+    /// A server that is shutting down says so in its entry, or removes it, within this time after its answers say so.
+    static constexpr std::chrono::milliseconds ShutdownReportTime{5000};
+
     // ---- changes ----
 
     /// Adds or updates a server from its entry. @return whether anything but a counter has changed
@@ -261,6 +274,13 @@
      */
     bool recordRequestRate(const ReplicaId &id, const StatementOrigin &origin, std::optional<double> perSecond, TimePoint now);
 
+    /**
+     * Drops statements of shutdowns that may have been made by the previous process of a server, if the entry of the current one has been
+     * ready for ShutdownReportTime since. Linear in the number of servers.
+     * @return the servers whose statements were dropped
+     */
+    std::vector<ReplicaId> dropRefutedShutdowns();
+
     /// Records what another node has learned from answers of a server's current process. @return whether the limit has changed
     bool mergeRequestRate(const ReportedRequestRate &report, TimePoint now);
 
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -315,6 +315,10 @@
     const TimePoint now = m_state.clock.now();
     m_fleetTables.settleAfterRestore();
     m_state.backends.eraseRemoved(now);
+    for (const ReplicaId &server : m_state.backends.dropRefutedShutdowns()) {
+        m_state.metrics.increment(CounterFamily::Servers, "shutdown_refuted");
+        LogEvent("server.shutdown_refuted").field("server", server);
+    }
     m_state.peers.removeSilent(now);
     m_state.partQuarantine.removeExpired(now);
     m_state.streamVersions.removeBefore(now - LongestStreamLifetime);
--- a/src/state/backend.cpp
+++ b/src/state/backend.cpp
@@ -30,17 +30,27 @@
     avoidUntil = now + InitialAvoidance * (1 << doublings);
 }
 
-void Backend::dropStatementsOfPreviousProcess(TimePoint now)
+void Backend::dropStatementsOfPreviousProcess(TimePoint now, std::optional<TimePoint> tableCurrentAsOf)
 {
-    // The connections to the previous process were lost when it ended, and none could be opened until the current one listened.
-    previousProcessEndedAt = std::exchange(connectionLostAt, std::nullopt);
-    if (!previousProcessEndedAt || shutdownConnectedAt <= *previousProcessEndedAt) {
+    // A lost connection shows that it was one to the previous process. It does not show that this process ended then: servers also drop
+    // idle connections.
+    previousProcessConnectedAt = std::exchange(connectionLostAt, std::nullopt);
+    if (previousProcessConnectedAt && tableCurrentAsOf) {
+        previousProcessConnectedAt = std::max(*previousProcessConnectedAt, *tableCurrentAsOf - BackendTable::RegistrationTime);
+    }
+    const auto isOfPreviousProcess = [this](TimePoint connectedAt) {
+        return !previousProcessConnectedAt || connectedAt <= *previousProcessConnectedAt;
+    };
+    shutdownUnconfirmedSince.reset();
+    if (isOfPreviousProcess(shutdownConnectedAt)) {
         shutdownStatedAt.reset();
+    } else if (shutdownStatedAt) {
+        shutdownUnconfirmedSince = now;
     }
-    if (!previousProcessEndedAt || declineConnectedAt <= *previousProcessEndedAt) {
+    if (isOfPreviousProcess(declineConnectedAt)) {
         declinesUntil = now;
     }
-    if (!previousProcessEndedAt || rateStatement.connectedAt <= *previousProcessEndedAt) {
+    if (isOfPreviousProcess(rateStatement.connectedAt)) {
         rateStatement = RequestRateStatement();
     }
 }
@@ -83,7 +93,7 @@
         backend->speedFactor = 1;
         backend->avoidUntil = now;
         backend->processKnownSince = now;
-        backend->dropStatementsOfPreviousProcess(now);
+        backend->dropStatementsOfPreviousProcess(now, m_currency.currentAsOf());
     }
     if (current.service != record.service) {
         std::erase(m_byService[current.service], backend);
@@ -102,14 +112,38 @@
 bool BackendTable::recordShutdownStatement(const ReplicaId &id, const StatementOrigin &origin, TimePoint now)
 {
     const BackendPointer backend = findProcess(id, origin);
-    if (!backend || backend->shutdownStatedAt) {
+    if (!backend) {
+        return false;
+    }
+    const bool isConfirmed = backend->processKnownSince <= origin.requestSentAt;
+    if (isConfirmed) {
+        backend->shutdownUnconfirmedSince.reset();
+    }
+    if (backend->shutdownStatedAt) {
         return false;
     }
     backend->shutdownStatedAt = now;
     backend->shutdownConnectedAt = origin.connectedAt;
+    if (!isConfirmed) {
+        backend->shutdownUnconfirmedSince = now;
+    }
     return true;
 }
 
+std::vector<ReplicaId> BackendTable::dropRefutedShutdowns()
+{
+    std::vector<ReplicaId> refuted;
+    for (const auto &[id, backend] : m_backends) {
+        const std::optional<TimePoint> since = backend->shutdownUnconfirmedSince;
+        if (since && backend->record.state == BackendState::Ready && m_currency.isCurrentSince(*since + ShutdownReportTime)) {
+            backend->shutdownStatedAt.reset();
+            backend->shutdownUnconfirmedSince.reset();
+            refuted.push_back(id);
+        }
+    }
+    return refuted;
+}
+
 bool BackendTable::recordDecline(const ReplicaId &id, const StatementOrigin &origin, TimePoint until)
 {
     const BackendPointer backend = findProcess(id, origin);
@@ -162,7 +196,7 @@
     }
     // A request that was sent when the entry of a process had been read can only be answered by that process or a later one.
     const bool sentSince = backend->processKnownSince <= origin.requestSentAt;
-    const bool connectedSince = backend->previousProcessEndedAt && *backend->previousProcessEndedAt < origin.connectedAt;
+    const bool connectedSince = backend->previousProcessConnectedAt && *backend->previousProcessConnectedAt < origin.connectedAt;
     return sentSince || connectedSince ? backend : nullptr;
 }
 
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -571,6 +571,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_server_that_starts_again_after_a_planned_stop_is_used_though_it_had_dropped_a_connection_before)
+{
+    // The dropped connection was taken for the end of the previous process, whose announcement of its shutdown then counted for good.
+    Simulation simulation;
+    Node node(simulation.eventLoops, simulation.clock, simulation.peerPort, "a", "127.0.0.1");
+    node.tables.rows[ServersTable] = {row("i-1", "r@1", 2)};
+    simulation.advance(3s);
+    const ReplicaId id("i-1");
+    BackendTable &backends = node.state.backends;
+    backends.find(id)->recordConnectionLoss(simulation.clock.now());
+    simulation.advance(1s);
+    const TimePoint connectedAt = simulation.clock.now();
+    BOOST_TEST(backends.recordShutdownStatement(id, connectedAt, connectedAt + 20ms));
+    simulation.advance(4s);
+    node.tables.version = StorePosition(3);
+    node.tables.rows[ServersTable] = {row("i-1", "r@2", 3)};
+    simulation.advance(10s);
+    BOOST_TEST(usableServers(node, simulation.clock.now()).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_leaves_is_learned_of_while_the_configuration_is_still_being_transferred)
 {
     // Servers' rows travelled behind a large configuration in one message; requests reached servers 3.3 s after they had announced their
--- a/tests/src/unit-server_statements.cpp
+++ b/tests/src/unit-server_statements.cpp
@@ -116,6 +116,56 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_shutdown_that_is_stated_after_an_idle_connection_was_dropped)
+
+BOOST_FIXTURE_TEST_CASE(does_not_hold_for_the_next_process_of_the_server, RestartedServer)
+{
+    // A server that had started again got no requests for good.
+    table.find(Id)->recordConnectionLoss(Start);
+    BOOST_TEST(table.recordShutdownStatement(Id, {Start + 100ms, Start + 200ms}, Start + 300ms));
+    table.currency().recordCurrent(Start + 6s);
+    record.startedAt = 20;
+    table.update(record, Start + 6s);
+    BOOST_TEST(isUsed(Start + 6s));
+}
+
+BOOST_FIXTURE_TEST_CASE(holds_for_a_limited_time_if_either_process_may_have_stated_it, RestartedServer)
+{
+    table.find(Id)->recordConnectionLoss(Start);
+    BOOST_TEST(table.recordShutdownStatement(Id, {Start + 100ms, Start + 200ms}, Start + 300ms));
+    table.currency().recordCurrent(Start + 2s);
+    readNewEntry();
+    BOOST_TEST(table.find(Id)->statesShutdown());
+    const TimePoint refuted = Start + 2s + BackendTable::ShutdownReportTime;
+    table.currency().recordCurrent(refuted - 1ms);
+    BOOST_TEST(table.dropRefutedShutdowns().empty());
+    table.currency().recordCurrent(refuted);
+    BOOST_TEST((table.dropRefutedShutdowns() == std::vector{Id}));
+    BOOST_TEST(isUsed(refuted));
+}
+
+BOOST_FIXTURE_TEST_CASE(holds_if_the_current_process_repeats_it, RestartedServer)
+{
+    table.find(Id)->recordConnectionLoss(Start);
+    BOOST_TEST(table.recordShutdownStatement(Id, {Start + 1500ms, Start + 1600ms}, Start + 1700ms));
+    readNewEntry();
+    BOOST_TEST(!table.recordShutdownStatement(Id, {Start + 1500ms, Start + 3s}, Start + 3100ms));
+    table.currency().recordCurrent(Start + 60s);
+    BOOST_TEST(table.dropRefutedShutdowns().empty());
+    BOOST_TEST(!isUsed(Start + 60s));
+}
+
+BOOST_FIXTURE_TEST_CASE(holds_while_the_entry_cannot_be_read, RestartedServer)
+{
+    table.find(Id)->recordConnectionLoss(Start);
+    BOOST_TEST(table.recordShutdownStatement(Id, {Start + 1500ms, Start + 1600ms}, Start + 1700ms));
+    readNewEntry();
+    BOOST_TEST(table.dropRefutedShutdowns().empty());
+    BOOST_TEST(!isUsed(Start + 60s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_limit_of_the_request_rate)
 
 BOOST_FIXTURE_TEST_CASE(applies_until_an_answer_to_a_later_request_states_none, RestartedServer)
