Confirm the table of servers before a stream of unknown origin is resumed

What callers saw (report of other operators, ORDER): a node that was cut off or stood still while servers of a new software version joined resumed streams that had begun there at a server of the old version.

Cause: a node that neither remembers a stream nor hears of it from its keepers took the only version that it had seen for the stream's. It asked for how long it had observed its table of servers, not whether the table agreed with the store in the meantime.

Change: the node first reads the changes of the table in a call that begins after the request was read, which nothing that waited for a node that stood still can pass for. If the store does not answer, the stream is resumed only if its keepers have no newer table and the node hears more than half of the fleet; else it is refused.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -288,6 +288,8 @@
   2: required string peerAddress
   /// Missing if the sender does not know the stream.
   3: optional StreamRecord stream
+  /// The packed StorePosition of the sender's table of servers.
+  4: optional i64 serversVersion
 }
 
 /// Content of a datagram between front nodes. Exactly one field is set.
--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -16,6 +16,7 @@
 #include "apricotarch/app/fleet_tables.h"
 #include "apricotarch/app/front_state.h"
 #include "apricotarch/app/node_registration.h"
+#include "apricotarch/app/server_table_check.h"
 #include "apricotarch/app/snapshot_exchange.h"
 #include "apricotarch/app/stream_origin_store.h"
 #include "apricotarch/app/usage_exchange.h"
@@ -134,6 +135,7 @@
     FleetTables m_fleetTables;
     NodeRegistration m_registration;
     SnapshotExchange m_snapshots;
+    ServerTableCheck m_serverCheck;
     StreamOriginExchange m_streamExchange;
     StreamOriginStore m_streamOrigins;
     Incarnation m_incarnation;
--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -128,8 +128,10 @@
     std::map<ServiceId, VersionSet> recordedVersions;
     /// Reads what the store has of the origins of streams; see StreamOriginStore.
     std::function<asio::awaitable<void>()> refreshStreamOrigins;
-    /// Asks other nodes for the origin of a stream; see StreamOriginExchange.
-    std::function<asio::awaitable<void>(StreamKey)> askForStreamOrigin;
+    /// Asks other nodes for the origin of a stream; see StreamOriginExchange::ask().
+    std::function<asio::awaitable<bool>(StreamKey)> askForStreamOrigin;
+    /// Confirms that the table of servers was not outdated at a time; see ServerTableCheck::confirm().
+    std::function<asio::awaitable<bool>(TimePoint)> confirmServers;
     /// Called when a stream of this node has begun, with its keys.
     std::function<void(const std::vector<StreamRecord> &)> onStreamBegan;
     StreamVersionTable streamVersions; ///< Streams that began at this node, or of which other nodes have told it.
--- a/include/apricotarch/app/stream_origin_exchange.h
+++ b/include/apricotarch/app/stream_origin_exchange.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <vector>
 
+#include "apricotarch/app/fleet_tables.h"
 #include "apricotarch/app/front_state.h"
 #include "apricotarch/transport/async_event.h"
 #include "apricotarch/transport/authenticated_link.h"
@@ -27,14 +28,19 @@
 class StreamOriginExchange
 {
 public:
-    StreamOriginExchange(FrontState &state, AuthenticatedLink &link);
+    /// @param state the node's state @param tables the node's table of servers @param link link to other nodes; all must outlive this
+    /// object
+    StreamOriginExchange(FrontState &state, const FleetTables &tables, AuthenticatedLink &link);
 
     /// Tells the keepers of some streams where these began.
     void announce(const std::vector<StreamRecord> &streams);
 
-    /// Asks the keepers of a stream. Returns after the first that knows it, or after a few milliseconds; the origin is then in
-    /// FrontState::streamVersions.
-    [[nodiscard]] asio::awaitable<void> ask(StreamKey stream);
+    /**
+     * Asks the keepers of a stream. Returns after the first that knows it, or after a few milliseconds; the origin is then in
+     * FrontState::streamVersions.
+     * @return whether there are keepers, and all have answered that they do not know the stream and have no newer table of servers
+     */
+    [[nodiscard]] asio::awaitable<bool> ask(StreamKey stream);
 
     void handle(const StreamNotice &notice);
     void handle(const StreamQuery &query);
@@ -57,6 +63,7 @@
     struct PendingQuery
     {
         std::size_t unanswered = 0;
+        bool allAgree = false; ///< Whether no answer so far was of a node with a newer table of servers.
         AsyncEvent *answered = nullptr;
     };
 
@@ -69,6 +76,7 @@
     void send(const Endpoint &peer, const FrontDatagram &datagram);
 
     FrontState &m_state;
+    const FleetTables &m_tables;
     AuthenticatedLink &m_link;
     std::vector<Candidate> m_candidates; ///< The live nodes, this one included.
     TimePoint m_candidatesAt; ///< When m_candidates was updated.
--- a/include/apricotarch/coordination/peer_table.h
+++ b/include/apricotarch/coordination/peer_table.h
@@ -122,6 +122,10 @@
     /// Returns the number of other nodes whose heartbeats are recent enough for remoteLoad() and remoteRate().
     [[nodiscard]] std::size_t countReportingPeers(TimePoint now) const;
 
+    /// Whether this node has recent heartbeats of more than half of the nodes, itself included, that it has heard of lately. Always false
+    /// with partial views.
+    [[nodiscard]] bool hearsMajority(TimePoint now) const;
+
     /// Returns the addresses of all known nodes but this one. With partial views, nodes known to be dead are left out.
     [[nodiscard]] std::vector<Endpoint> knownAddresses(TimePoint now) const;
 
--- a/include/apricotarch/state/front_heartbeat.h
+++ b/include/apricotarch/state/front_heartbeat.h
@@ -206,6 +206,7 @@
     std::int64_t number = 0; ///< Number of the query.
     Endpoint peerAddress; ///< Address of the sender.
     std::optional<StreamRecord> stream; ///< Empty if the sender does not know the stream.
+    std::optional<StorePosition> serversVersion = std::nullopt; ///< Position of the sender's table of servers.
 };
 
 /// Content of a datagram between front nodes.
--- a/src/app/fleet_synchronizer.cpp
+++ b/src/app/fleet_synchronizer.cpp
@@ -52,7 +52,8 @@
     , m_fleetTables(state, std::move(decoders))
     , m_registration(state, tables, rows)
     , m_snapshots(state, m_fleetTables, m_registration, link)
-    , m_streamExchange(state, link)
+    , m_serverCheck(state, tables, m_fleetTables)
+    , m_streamExchange(state, m_fleetTables, link)
     , m_streamOrigins(state, tables, rows, m_streamExchange)
     , m_incarnation(incarnation)
     , m_groupLoads(state, link, incarnation, m_sequence)
@@ -107,6 +108,9 @@
     m_state.askForStreamOrigin = [this](StreamKey stream) {
         return m_streamExchange.ask(stream);
     };
+    m_state.confirmServers = [this](TimePoint since) {
+        return m_serverCheck.confirm(since);
+    };
     startLoop(loop, "record_stream_origins", [this] {
         return m_streamOrigins.run();
     });
@@ -137,7 +141,9 @@
         updateRemoteLoad();
         updateSpeedFactors(m_state);
         updateRateShares(m_state);
-        m_state.serviceVersions.update(m_state.backends, m_state.clock.now());
+        if (m_state.serversLoaded) {
+            m_state.serviceVersions.update(m_state.backends, m_state.clock.now());
+        }
         if (m_state.asksStewards() && m_state.clock.now() - m_loadsRepeatedAt >= ReportedLoads::RepeatInterval) {
             m_loadsRepeatedAt = m_state.clock.now();
             m_groupLoads.repeatReports();
--- a/src/app/stream_origin.cpp
+++ b/src/app/stream_origin.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "apricotarch/app/request_forwarder.h"
+#include "apricotarch/base/log.h"
 
 namespace apricotarch
 {
@@ -15,6 +16,17 @@
 constexpr Duration ShortestLifetime = 10s;
 constexpr Duration LongestLifetime = 2 * LongestRequestTime;
 
+void logUnconfirmed(FrontState &state, const ServiceId &service, const RequestId &resumed, bool keepersAgree)
+{
+    const TimePoint now = state.clock.now();
+    LogEvent event("stream_origin.unconfirmed", LogEvent::Level::Warning);
+    event.field("resumes", resumed).field("service", service).field("keepers_agree", keepersAgree);
+    event.field("hears_majority", state.peers.hearsMajority(now));
+    if (const std::optional<TimePoint> current = state.backends.currency().currentAsOf()) {
+        event.field("servers_age_ms", toMilliseconds(now - *current));
+    }
+}
+
 } // namespace
 
 Duration streamLifetime(const RoutingPlan &plan, const ServiceId &service)
@@ -60,9 +72,24 @@
     const auto findStream = [&state, &resumed] {
         return resumed.empty() ? std::nullopt : state.streamVersions.find(streamKey(resumed));
     };
+    const TimePoint calledAt = state.clock.now();
     std::optional<StreamOrigin> origin = findStream();
+    bool keepersAgree = false;
     if (!origin && !resumed.empty() && state.askForStreamOrigin) {
-        co_await state.askForStreamOrigin(streamKey(resumed)); // Another node may have learned of a version earlier than this one.
+        keepersAgree = co_await state.askForStreamOrigin(streamKey(resumed)); // They may have learned of a version earlier than this node.
+        origin = findStream();
+    }
+    if (origin) {
+        co_return origin;
+    }
+    if (state.confirmServers) {
+        // The stream may have begun at a version that this node has not heard of, since it was cut off or stood still.
+        const bool isConfirmed = co_await state.confirmServers(calledAt);
+        // Without the store no server registers, unless it is only this part of the fleet that cannot reach it.
+        if (!isConfirmed && !(keepersAgree && state.peers.hearsMajority(state.clock.now()))) {
+            logUnconfirmed(state, service, resumed, keepersAgree);
+            co_return std::nullopt;
+        }
         origin = findStream();
     }
     if (origin) {
--- a/src/app/stream_origin_exchange.cpp
+++ b/src/app/stream_origin_exchange.cpp
@@ -40,8 +40,9 @@
 
 } // namespace
 
-StreamOriginExchange::StreamOriginExchange(FrontState &state, AuthenticatedLink &link)
+StreamOriginExchange::StreamOriginExchange(FrontState &state, const FleetTables &tables, AuthenticatedLink &link)
     : m_state(state)
+    , m_tables(tables)
     , m_link(link)
 {
 }
@@ -70,7 +71,7 @@
     }
 }
 
-asio::awaitable<void> StreamOriginExchange::ask(StreamKey stream)
+asio::awaitable<bool> StreamOriginExchange::ask(StreamKey stream)
 {
     AsyncEvent answered(co_await asio::this_coro::executor);
     const std::int64_t number = ++m_lastQuery;
@@ -79,6 +80,7 @@
     for (const Endpoint &keeper : keepers(stream)) {
         if (keeper != m_state.settings.peerAddress) {
             ++pending.unanswered;
+            pending.allAgree = true;
             send(keeper, StreamQuery{number, m_state.settings.peerAddress, stream});
         }
     }
@@ -86,8 +88,10 @@
     while (pending.unanswered > 0 && !m_state.streamVersions.find(stream) && m_state.clock.now() < deadline) {
         co_await answered.waitUntil(deadline);
     }
+    const bool allAgree = pending.unanswered == 0 && pending.allAgree;
     m_queries.erase(number);
     m_state.metrics.increment(CounterFamily::Peers, m_state.streamVersions.find(stream) ? "stream_found" : "stream_not_found");
+    co_return allAgree;
 }
 
 void StreamOriginExchange::handle(const StreamNotice &notice)
@@ -100,7 +104,7 @@
 
 void StreamOriginExchange::handle(const StreamQuery &query)
 {
-    StreamReport report{query.number, m_state.settings.peerAddress, std::nullopt};
+    StreamReport report{query.number, m_state.settings.peerAddress, std::nullopt, m_tables.serversVersion()};
     if (const std::optional<StreamOrigin> origin = m_state.streamVersions.find(query.stream)) {
         report.stream = StreamRecord{query.stream, *origin};
     }
@@ -116,6 +120,7 @@
     if (found == m_queries.end()) {
         return;
     }
+    found->second.allAgree = found->second.allAgree && report.serversVersion && *report.serversVersion <= m_tables.serversVersion();
     found->second.unanswered -= std::min<std::size_t>(found->second.unanswered, 1);
     found->second.answered->notify();
 }
--- a/src/coordination/peer_table.cpp
+++ b/src/coordination/peer_table.cpp
@@ -235,6 +235,18 @@
     }));
 }
 
+bool PeerTable::hearsMajority(TimePoint now) const
+{
+    if (usesPartialView()) {
+        return false;
+    }
+    std::size_t heard = 1;
+    for (const auto &[address, peer] : m_peers) {
+        heard += hasRecentHeartbeat(peer, m_timeouts.listTimeout, now) ? 1 : 0;
+    }
+    return 2 * heard > countBudgetNodes(now);
+}
+
 bool PeerTable::sharesBudget(const PeerEntry &peer, TimePoint now) const
 {
     const bool recent = hasRecentHeartbeat(peer, m_timeouts.removalTimeout, now);
--- a/src/coordination/service_versions.cpp
+++ b/src/coordination/service_versions.cpp
@@ -5,6 +5,11 @@
 
 void ServiceVersions::update(const BackendTable &backends, TimePoint now)
 {
+    const std::optional<TimePoint> currentAsOf = backends.currency().currentAsOf();
+    if (currentAsOf && m_currentAsOf && *currentAsOf - *m_currentAsOf > LongestGap) {
+        m_observedSince = currentAsOf;
+    }
+    m_currentAsOf = currentAsOf;
     if (!m_observedSince || m_revision != backends.revision()) {
         m_observedSince = m_observedSince.value_or(now);
         m_revision = backends.revision();
--- a/src/protocol/stream_codec.cpp
+++ b/src/protocol/stream_codec.cpp
@@ -61,6 +61,9 @@
     if (report.stream) {
         message.__set_stream(toWire(*report.stream));
     }
+    if (report.serversVersion) {
+        message.__set_serversVersion(report.serversVersion->packed());
+    }
     return message;
 }
 
@@ -87,6 +90,9 @@
         if (message.__isset.stream) {
             report.stream = fromWire(message.stream);
         }
+        if (message.__isset.serversVersion) {
+            report.serversVersion = StorePosition::unpack(message.serversVersion);
+        }
         return report;
     });
 }
