Tell apart the same request of different callers when servers crash

Cause: the record of crashes identified a request by host, target and body. An answer to any caller cleared it before a second crash could lead to a quarantine; the other way round, two crashes refused the path and body to all callers.

The new test failed without the changed line: 4 crashes in place of 2, and the other caller was refused.

Change: the credentials that the caller has sent enter the hash that identifies the request.

--- a/include/apricotarch/transport/backend_protocol_adapter.h
+++ b/include/apricotarch/transport/backend_protocol_adapter.h
@@ -44,6 +44,7 @@
     std::optional<std::uint64_t> lastEventId; ///< Id of the last event that the caller received; the stream resumes after it.
     RequestId resumedRequest; ///< Request that brought the first event of the stream that this one resumes; empty if the caller names none.
     std::optional<PromptInfo> prompt; ///< Present if the request is for a language model.
+    std::string credentials; ///< What the caller has sent to identify itself; empty if nothing. Must not be logged.
     std::string key; ///< Bearer token by which the caller's customer is recognized; empty if there is none. Must not be logged.
     HttpHeaders forwardedHeaders; ///< Headers forwarded to the backend server unchanged.
     std::string body;
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -89,7 +89,7 @@
     }
     m_serviceId = chooseService();
     m_service = m_plan->service(m_serviceId);
-    m_contentHash = contentHash(m_request.host + m_request.target + '\n' + m_request.body);
+    m_contentHash = contentHash(m_request.host + m_request.target + '\n' + m_request.credentials + '\n' + m_request.body);
     m_deadline = requestDeadline(m_request, *m_route) - DeadlineMargin;
     const TimePoint now = m_state.clock.now();
     m_state.metrics.increment(CounterFamily::Requests, m_route->name);
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1339,6 +1339,36 @@
     BOOST_TEST(servers.bookings == 2);
 }
 
+BOOST_AUTO_TEST_CASE(is_refused_though_other_callers_get_answers_to_the_same_path_and_body)
+{
+    // Answers to other callers cleared the record of the request, which reached a server each time it came.
+    TestNode node;
+    std::vector<ScriptedServer *> servers;
+    int crashes = 0;
+    for (int index = 0; index < 4; ++index) {
+        const auto script = [&servers, &crashes, index](const RequestHead &head, const std::string &) {
+            if (head.headers.value("Authorization") != "Bearer 77") {
+                return ScriptedAnswer{fullResponse(head, "booked")};
+            }
+            ++crashes;
+            servers[static_cast<std::size_t>(index)]->end();
+            return ScriptedAnswer{.bytes = "", .closes = true};
+        };
+        servers.push_back(&node.addServer(("i-" + std::to_string(index)).c_str(), script));
+    }
+    auto book = [&node, number = 0](const std::string &caller) mutable {
+        return node.sendRequest("POST /book/next HTTP/1.1\r\nHost: desk\r\nX-Request-Id: b" + std::to_string(++number)
+            + "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer " + caller + "\r\nContent-Length: 4\r\n\r\nnext");
+    };
+    for (int round = 0; round < 4; ++round) {
+        BOOST_TEST(!book("77").starts_with("HTTP/1.1 200"));
+        node.runFor(CheckTime);
+        BOOST_TEST(book("78").starts_with("HTTP/1.1 200"));
+    }
+    BOOST_TEST(crashes == 2);
+    BOOST_TEST(book("77").starts_with("HTTP/1.1 503"));
+}
+
 BOOST_AUTO_TEST_CASE(is_still_sent_if_the_servers_go_on)
 {
     // A server resets connections beyond the number that it accepts, and may close an idle one just before a request arrives.
@@ -1411,8 +1441,8 @@
     const auto prompt = [](const std::string &secondPart, int own) {
         const std::string id = "ca978112ca1bbdcafac231b39a23dc4da786eff81" + std::to_string(own);
         return "POST /long/" + std::to_string(own) + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: p" + std::to_string(own)
-            + "\r\nX-Model: m\r\nX-Token-Counts: 1500,20\r\nX-Prompt-Prefix: 60303ae22b998861bce3b28f33eec1be:900," + secondPart
-            + ":400," + id + ":200\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n";
+            + "\r\nX-Model: m\r\nX-Token-Counts: 1500,20\r\nX-Prompt-Prefix: 60303ae22b998861bce3b28f33eec1be:900," + secondPart + ":400,"
+            + id + ":200\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n";
     };
     const std::string soundPart = "2c26b46b68ffc68ff99b453c1d304134";
     BOOST_TEST(node.sendRequest(prompt(soundPart, 1), "0\r\n\r\n").ends_with("0\r\n\r\n"));
