Repeat fewer crash records in heartbeats

Cause: each of 63 nodes repeated up to 32 records in each heartbeat, and each passed every change on three times although all nodes hear the observer.

Change: a change is reported three times by its observer, by others only with partial views; unchanged records are limited to 8 quarantined requests and 2 others in a heartbeat.

--- a/include/apricotarch/coordination/crash_tracker.h
+++ b/include/apricotarch/coordination/crash_tracker.h
@@ -37,8 +37,11 @@
 class CrashTracker
 {
 public:
-    /// Most records in one heartbeat.
+    /// Most records in one heartbeat, and how many of them have not changed recently: quarantined requests, and others. All nodes repeat
+    /// them, so a node that starts hears of them from each of the others.
     static constexpr std::size_t MaxReportedRecords = 32;
+    static constexpr std::size_t MaxRepeatedQuarantines = 8;
+    static constexpr std::size_t MaxOtherRepetitions = 2;
 
     explicit CrashTracker(CrashTrackerPeriods periods);
 
@@ -79,8 +82,14 @@
     /// calls cycle through all. Sorts all records.
     [[nodiscard]] std::vector<CrashRecord> nextReports(TimePoint now);
 
-    /// Merges the records of another node into the records of this node. @return whether a record has changed
-    bool mergeRecords(const std::vector<CrashRecord> &records, TimePoint now);
+    /**
+     * Merges the records of another node into the records of this node.
+     * @param records records from its heartbeat
+     * @param now current time
+     * @param passOn whether this node passes changes on at once, because not every node hears from every other
+     * @return whether a record has changed
+     */
+    bool mergeRecords(const std::vector<CrashRecord> &records, TimePoint now, bool passOn = false);
 
     /**
      * Releases requests with this content from suspicion and quarantine at this node and, through the next heartbeats, at other nodes.
@@ -99,8 +108,8 @@
     /// Returns how long a record with this number of crashes is kept.
     [[nodiscard]] Duration period(int crashes) const noexcept;
     [[nodiscard]] TimePoint expiryTime(const Record &record) const noexcept;
-    /// Merges one record of another node. @return whether it has replaced the record of this node
-    bool mergeRecord(const CrashRecord &reported, TimePoint now);
+    /// Merges one record of another node, see mergeRecords(). @return whether it has replaced the record of this node
+    bool mergeRecord(const CrashRecord &reported, TimePoint now, bool passOn);
 
     /// Returns the number of crashes in the unexpired record of this content.
     [[nodiscard]] int crashCount(ContentHash content, TimePoint now) const;
--- a/src/app/fleet_synchronizer_messages.cpp
+++ b/src/app/fleet_synchronizer_messages.cpp
@@ -79,8 +79,9 @@
         m_state.serverSpeeds.merge(sample, now);
     }
     recordStageChanges(heartbeat.changingEngines);
-    const bool recordsChanged = !heartbeat.crashRecords.empty() && m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now);
-    const bool evidenceChanged = m_state.partQuarantine.merge(heartbeat.partEvidence, m_state.peers.usesPartialView(), now);
+    const bool passOn = m_state.peers.usesPartialView();
+    const bool recordsChanged = !heartbeat.crashRecords.empty() && m_state.crashTracker.mergeRecords(heartbeat.crashRecords, now, passOn);
+    const bool evidenceChanged = m_state.partQuarantine.merge(heartbeat.partEvidence, passOn, now);
     const bool ratesChanged = mergeRequestRates(m_state, heartbeat.requestRates);
     if (recordsChanged || evidenceChanged || ratesChanged) {
         requestUrgentHeartbeat();
--- a/src/coordination/crash_tracker.cpp
+++ b/src/coordination/crash_tracker.cpp
@@ -133,21 +133,38 @@
             }
         }
     }
-    std::ranges::stable_sort(entries, std::greater(), [](const Entry *entry) {
-        return std::pair(entry->second.reportsLeft > 0, entry->second.crashes >= QuarantineThreshold);
+    const auto isChanged = [](const Entry *entry) {
+        return entry->second.reportsLeft > 0;
+    };
+    const auto isQuarantine = [](const Entry *entry) {
+        return entry->second.crashes >= QuarantineThreshold;
+    };
+    std::ranges::stable_sort(entries, std::greater(), [&](const Entry *entry) {
+        return std::pair(isChanged(entry), isQuarantine(entry));
     });
-    entries.resize(std::min(entries.size(), MaxReportedRecords));
+    std::size_t quarantinesLeft = MaxRepeatedQuarantines;
+    std::size_t othersLeft = MaxOtherRepetitions;
     std::vector<CrashRecord> reports;
     for (Entry *entry : entries) {
+        if (reports.size() == MaxReportedRecords) {
+            break;
+        }
         auto &[content, record] = *entry;
+        if (!isChanged(entry)) {
+            std::size_t &left = isQuarantine(entry) ? quarantinesLeft : othersLeft;
+            if (left == 0) {
+                continue;
+            }
+            --left;
+            m_lastReported = content;
+        }
         record.reportsLeft = std::max(0, record.reportsLeft - 1);
         reports.push_back({content, record.crashes, std::chrono::duration_cast<std::chrono::milliseconds>(expiryTime(record) - now)});
-        m_lastReported = content;
     }
     return reports;
 }
 
-bool CrashTracker::mergeRecord(const CrashRecord &reported, TimePoint now)
+bool CrashTracker::mergeRecord(const CrashRecord &reported, TimePoint now, bool passOn)
 {
     const TimePoint at = now - std::max<Duration>(period(reported.crashes) - reported.remaining, Duration::zero());
     const auto found = m_records.find(reported.content);
@@ -163,17 +180,17 @@
             return false;
         }
     }
-    m_records[reported.content] = {reported.crashes, at, ReportsPerChange};
+    m_records[reported.content] = {reported.crashes, at, passOn ? ReportsPerChange : 0};
     return true;
 }
 
-bool CrashTracker::mergeRecords(const std::vector<CrashRecord> &records, TimePoint now)
+bool CrashTracker::mergeRecords(const std::vector<CrashRecord> &records, TimePoint now, bool passOn)
 {
     const std::lock_guard lock(m_mutex);
     removeExpired(now);
     bool changed = false;
     for (const CrashRecord &reported : records) {
-        changed = (reported.remaining >= MinReportedTime && mergeRecord(reported, now)) || changed;
+        changed = (reported.remaining >= MinReportedTime && mergeRecord(reported, now, passOn)) || changed;
     }
     return changed;
 }
