Quarantine parts of prompts however their list is spelled

Cause: HttpHeaders::value() returns the first line of a header, while a list may be divided into lines and have empty elements (RFC 9110, 5.3 and 5.6.1). The list also ended at the first entry that could not be read, and what was the last of the rest counted as the request's own part, which is never quarantined. Without model and sizes of the prompt, the list was not read. The quarantine and the model of caches shared the result, although a cache may end the list early and the quarantine may lose nothing.

Change: HttpHeaders::listElements() returns the elements of all lines. CallerRequest::promptParts has all entries, those that cannot be read with an id of their own; PromptInfo::parts ends before the first one that cannot be read, for caches and placement. The new log line server.crash_recorded names the shared parts.

The new tests of request_forwarder failed before for all 9 spellings and without a model: 5 to 8 and 10 crashes in place of 3.

--- a/include/apricotarch/state/prefix_cache.h
+++ b/include/apricotarch/state/prefix_cache.h
@@ -19,6 +19,8 @@
 {
     std::uint64_t id = 0; ///< Identifies the part's content; derived from the id in the request, which may be longer.
     std::int64_t tokens = 0; ///< Length in tokens.
+
+    bool operator==(const PromptPart &) const = default;
 };
 
 /// Formats the ids of a prompt's parts but the last one, which belongs to one request or session: hexadecimal, separated by commas.
--- a/include/apricotarch/transport/backend_protocol_adapter.h
+++ b/include/apricotarch/transport/backend_protocol_adapter.h
@@ -28,8 +28,10 @@
     std::string model;
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
-    std::vector<PromptPart> parts; ///< In prompt order; the last one is specific to the request or its session.
-    std::string malformedPart; ///< First entry of the list of parts that cannot be read, which ends it; empty if there is none.
+    /// Parts that KV memory may hold, in prompt order; the last one is specific to the request or its session. Ends before the first entry
+    /// of the list that cannot be read.
+    std::vector<PromptPart> parts;
+    std::string malformedPart; ///< First entry of the list of parts that cannot be read; empty if there is none.
 };
 
 /// A decoded request of a caller.
@@ -44,6 +46,9 @@
     std::optional<std::uint64_t> lastEventId; ///< Id of the last event that the caller received; the stream resumes after it.
     RequestId resumedRequest; ///< Request that brought the first event of the stream that this one resumes; empty if the caller names none.
     std::optional<PromptInfo> prompt; ///< Present if the request is for a language model.
+    /// All parts of the prompt that the caller has listed, in prompt order. Entries that cannot be read are included, with an id that is
+    /// theirs and without tokens. The last part is specific to the request or its session.
+    std::vector<PromptPart> promptParts;
     std::string credentials; ///< What the caller has sent to identify itself; empty if nothing. Must not be logged.
     std::string key; ///< Bearer token by which the caller's customer is recognized; empty if there is none. Must not be logged.
     HttpHeaders forwardedHeaders; ///< Headers forwarded to the backend server unchanged.
--- a/include/apricotarch/transport/http_message.h
+++ b/include/apricotarch/transport/http_message.h
@@ -36,6 +36,14 @@
      */
     [[nodiscard]] std::string_view value(std::string_view name) const noexcept;
 
+    /**
+     * Returns the elements of a header whose value is a comma-separated list (RFC 9110, 5.3 and 5.6.1): those of all headers of this name,
+     * in order, without surrounding whitespace and without empty ones. Not for lists that may contain quoted strings.
+     * @param name header name in any case
+     * @return views of the headers' values
+     */
+    [[nodiscard]] std::vector<std::string_view> listElements(std::string_view name) const;
+
     [[nodiscard]] const std::vector<HttpHeader> &fields() const noexcept;
 
 private:
--- a/src/app/possible_crash.cpp
+++ b/src/app/possible_crash.cpp
@@ -47,6 +47,12 @@
 
 void recordCrash(FrontState &state, const PossibleCrash &crash)
 {
+    LogEvent("server.crash_recorded")
+        .field("server", crash.server)
+        .field("process", crash.process)
+        .field("content", crash.content)
+        .field("shared_parts", sharedPartsText(crash.prompt))
+        .field("likelihood", std::to_string(crash.likelihood));
     state.crashTracker.recordCrash(crash.server, crash.content, crash.at);
     if (!crash.prompt.empty()) {
         state.partQuarantine.recordCrash(crash.prompt, {crash.process, crash.at, crash.likelihood});
--- a/src/app/request_forwarder.cpp
+++ b/src/app/request_forwarder.cpp
@@ -125,7 +125,7 @@
 
 bool RequestForwarder::hasQuarantinedPart()
 {
-    return m_request.prompt && m_state.partQuarantine.findQuarantined(m_request.prompt->parts);
+    return m_state.partQuarantine.findQuarantined(m_request.promptParts).has_value();
 }
 
 bool RequestForwarder::endIfQuarantined()
--- a/src/app/request_forwarder_outcome.cpp
+++ b/src/app/request_forwarder_outcome.cpp
@@ -174,8 +174,8 @@
         .prompt = {},
         .at = m_state.clock.now()};
     crash.process = activeAttempt.engineProcess;
-    if (m_request.prompt && !activeAttempt.promptAnswered) {
-        crash.prompt = m_request.prompt->parts;
+    if (!activeAttempt.promptAnswered) {
+        crash.prompt = m_request.promptParts;
     }
     if (activeAttempt.firstEventAt) {
         crash.likelihood = crashLikelihood(crash.at - *activeAttempt.firstEventAt);
@@ -189,8 +189,8 @@
 
 void RequestForwarder::recordPromptAnswered(ActiveAttempt &activeAttempt)
 {
-    if (m_request.prompt && !std::exchange(activeAttempt.promptAnswered, true)) {
-        m_state.partQuarantine.recordAnswer(m_request.prompt->parts, m_state.clock.now());
+    if (!std::exchange(activeAttempt.promptAnswered, true)) {
+        m_state.partQuarantine.recordAnswer(m_request.promptParts, m_state.clock.now());
     }
 }
 
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -2,7 +2,10 @@
 
 #include <utility>
 
+#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 
 namespace apricotarch
 {
@@ -27,6 +30,26 @@
     return {};
 }
 
+std::vector<std::string_view> HttpHeaders::listElements(std::string_view name) const
+{
+    std::vector<std::string_view> elements;
+    for (const HttpHeader &header : m_headers) {
+        if (!boost::algorithm::iequals(header.name, name, std::locale::classic())) {
+            continue;
+        }
+        std::vector<std::string_view> split;
+        const std::string_view value = header.value;
+        boost::algorithm::split(split, value, boost::algorithm::is_any_of(","));
+        for (const std::string_view element : split) {
+            const std::string_view trimmed = boost::algorithm::trim_copy(element, std::locale::classic());
+            if (!trimmed.empty()) {
+                elements.push_back(trimmed);
+            }
+        }
+    }
+    return elements;
+}
+
 const std::vector<HttpHeader> &HttpHeaders::fields() const noexcept
 {
     return m_headers;
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <array>
 #include <set>
 #include <thread>
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "fakes/test_node.h"
@@ -1454,6 +1456,77 @@
     BOOST_TEST(node.sendRequest(prompt(soundPart, 9), "0\r\n\r\n").ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(is_refused_however_the_list_of_parts_is_spelled)
+{
+    // A part after the first line of the list, an empty element or an entry that cannot be read was not recorded, nor the only readable
+    // part of a list, so that all requests with it reached engines.
+    const auto lists = std::to_array<std::string>({
+        "X-Prompt-Prefix: f1:900\r\nX-Prompt-Prefix: PART:400,OWN:200\r\n",
+        "X-Prompt-Prefix: f1:900,PART:400\r\nX-Other: 1\r\nx-prompt-prefix: OWN:200\r\n",
+        "X-Prompt-Prefix: PART:400\r\nX-Prompt-Prefix: f1:900,OWN:200\r\n",
+        "X-Prompt-Prefix: f1:900,,PART:400,\t,OWN:200,\r\n",
+        "X-Prompt-Prefix: f1:900,zz:1,PART:400,OWN:200\r\n",
+        "X-Prompt-Prefix: PART:400,zz:1,OWN:200\r\n",
+        "X-Prompt-Prefix: PART:400,zz\r\n",
+        "X-Prompt-Prefix: f1:900,PART:many,OWN:200\r\n",
+        "X-Prompt-Prefix: f1:900,PART-7:400,OWN:200\r\n",
+    });
+    for (const std::string &list : lists) {
+        BOOST_TEST_CONTEXT(list)
+        {
+            TestNode node;
+            int deadlySends = 0;
+            const auto crashOnDeadlyPart = [&](const RequestHead &head, const std::string &) {
+                const bool isDeadly = std::ranges::any_of(head.headers.fields(), [](const HttpHeader &field) {
+                    return field.value.find("dead") != std::string::npos;
+                });
+                if (!isDeadly) {
+                    return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+                }
+                ++deadlySends;
+                return ScriptedAnswer{.bytes = "", .closes = true, .delay = 20ms};
+            };
+            for (const char *id : {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}) {
+                node.addEngine(id, EngineStage::Decode, crashOnDeadlyPart);
+            }
+            const auto prompt = [&list](const std::string &part, int own) {
+                std::string headers = list;
+                boost::algorithm::replace_first(headers, "PART", part);
+                boost::algorithm::replace_first(headers, "OWN", "a" + std::to_string(own));
+                return "POST /long/" + std::to_string(own) + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: p" + std::to_string(own)
+                    + "\r\nX-Model: m\r\nX-Token-Counts: 1500,20\r\n" + headers + "X-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n";
+            };
+            BOOST_TEST(node.sendRequest(prompt("b1", 1), "0\r\n\r\n").ends_with("0\r\n\r\n"));
+            for (int request = 2; request < 6; ++request) {
+                (void)node.sendRequest(prompt("dead", request));
+            }
+            BOOST_TEST(deadlySends == 3);
+            BOOST_TEST(node.sendRequest(prompt("dead", 6)).starts_with("HTTP/1.1 503"));
+            BOOST_TEST(node.sendRequest(prompt("b2", 7), "0\r\n\r\n").ends_with("0\r\n\r\n"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_though_its_requests_name_no_model)
+{
+    // Without the headers of a prompt's model and size, its parts were not read.
+    TestNode node;
+    int deadlySends = 0;
+    const auto crash = [&deadlySends](const RequestHead &, const std::string &) {
+        ++deadlySends;
+        return ScriptedAnswer{.bytes = "", .closes = true, .delay = 20ms};
+    };
+    for (const char *id : {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}) {
+        node.addEngine(id, EngineStage::Decode, crash);
+    }
+    for (int request = 1; request < 6; ++request) {
+        const std::string own = std::to_string(request);
+        (void)node.sendRequest("POST /long/" + own + " HTTP/1.1\r\nHost: desk\r\nX-Request-Id: p" + own + "\r\nX-Prompt-Prefix: dead:400,a"
+            + own + ":200\r\nX-Deadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n");
+    }
+    BOOST_TEST(deadlySends == 3);
+}
+
 BOOST_AUTO_TEST_CASE(after_their_first_event_is_refused_though_each_of_its_answers_begins)
 {
     // Each answer began, which cleared the part before the engine ended: 20 requests crashed 20 engines.
