Count the grace period of removed servers from proofs that precede their removal

What callers saw: after calls to the store had failed, requests were sent to a server that was gone until 2,015 to 2,105 ms after the store had acknowledged its removal (drainMs is 2,000), if the nodes that read the store were killed or stopped at that moment.

Cause: if any call had failed up to 2 s before the table was last current, TableCurrency::missingSince() returned the present, so the time until dead readers are found and the grace period of 1.5 s added up again. An answer also proved the table current at its arrival, although it may have waited in the socket.

Change: missingSince() returns the later of two times that cannot follow the removal of a row by a store that answers: when the table was last known to be current, and when the last failed call was made. An answer counts from its call, one without changes to a held call from the end of the hold. server.removed has missing_ms, and is logged for rows that are missing in a full table, too.

are_used_for_the_whole_time_if_the_store_has_not_answered asked for 1.5 s from the moment at which a removal is learned of, which contradicts drainMs. are_used_for_the_whole_time_since_the_store_last_failed_to_answer asks for the same time from the last failed call on, and for its end.

--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -73,14 +73,21 @@
     [[nodiscard]] asio::awaitable<void> followTable(Table table);
     /// Checks now and then whether the store can be reached, so that other nodes replace this one as a reader of the store.
     [[nodiscard]] asio::awaitable<void> checkStoreReachability();
-    void updateStoreStatus(Table table, const Result<RowBatch> &result);
+    /// @param calledAt when the call was made
+    void updateStoreStatus(Table table, const Result<RowBatch> &result, TimePoint calledAt);
     /// Records the incarnation of the store that the store itself or a peer has reported. @param source either, for the log
     void recordStoreIncarnation(StoreIncarnation incarnation, const char *source);
-    [[nodiscard]] asio::awaitable<Result<RowBatch>> readTable(Table table, bool recovering);
-    /// Applies rows of the servers' table that the store has answered with. @param calledAt when the call was made
-    void applyServerBatch(const RowBatch &batch, bool isFullTable, TimePoint calledAt);
+    /// An answer of the store, or its absence.
+    struct TableAnswer
+    {
+        Result<RowBatch> batch;
+        TimePoint calledAt; ///< When the call was made that it is the result of.
+        TimePoint currentAsOf; ///< The store has answered at this time or later.
+    };
+
+    [[nodiscard]] asio::awaitable<TableAnswer> readTable(Table table, bool recovering);
     /// Reads a table's changes by a long poll. A late answer gives up the poll of the other table, too.
-    [[nodiscard]] asio::awaitable<Result<RowBatch>> pollChanges(Table table, StorePosition version);
+    [[nodiscard]] asio::awaitable<TableAnswer> pollChanges(Table table, StorePosition version);
 
     // ---- other nodes ----
 
--- a/include/apricotarch/app/fleet_tables.h
+++ b/include/apricotarch/app/fleet_tables.h
@@ -110,6 +110,7 @@
     [[nodiscard]] bool isOlderCopy(const StoredRow &row, const KnownServer &known) const;
     /// Replaces the servers of the state by those of m_serverRows.
     void replaceServers(StorePosition version);
+    void logRemoval(const std::string &key, StorePosition version) const;
     /// Decodes a row and removes its server if the row was removed or cannot be decoded. @return the server if it is to be used
     [[nodiscard]] std::optional<BackendRecord> decodeOrRemove(const StoredRow &row);
     void updateServer(const BackendRecord &record, StorePosition version);
--- a/include/apricotarch/state/backend.h
+++ b/include/apricotarch/state/backend.h
@@ -233,8 +233,8 @@
 class BackendTable
 {
 public:
-    /// How long after its removal a server may still be used if its service has no other. An entry that expired during an outage of the
-    /// store is written again within two seconds after the store's recovery.
+    /// How long a server whose entry is missing may still be used if its service has no other, from TableCurrency::missingSince() on. An
+    /// entry that expired during an outage of the store is written again within two seconds after the store's recovery.
     static constexpr std::chrono::milliseconds RemovedServerGracePeriod{1500};
 
     /// How long a server whose answers say that it is shutting down may still be used if its service has no other.
@@ -288,7 +288,7 @@
      * Marks a server as removed after its entry was removed.
      * @param id the server
      * @param now current time
-     * @param missingSince since when its entry may have been missing; by default, since the table was last known to be current
+     * @param missingSince since when its entry may have been missing; by default TableCurrency::missingSince()
      */
     void remove(const ReplicaId &id, TimePoint now, std::optional<TimePoint> missingSince = std::nullopt);
 
--- a/include/apricotarch/state/table_currency.h
+++ b/include/apricotarch/state/table_currency.h
@@ -21,19 +21,16 @@
 class TableCurrency
 {
 public:
-    /// Servers whose rows have expired during an outage of the store write them again within this time after its end.
-    static constexpr std::chrono::milliseconds RewriteTime{2000};
-
     /// Records that the copy agreed with the store at a time. Earlier times have no effect.
     void recordCurrent(TimePoint time)
     {
         m_currentAsOf = std::max(m_currentAsOf.value_or(time), time);
     }
 
-    /// Records that the store has not answered.
-    void recordOutage(TimePoint now)
+    /// Records that a call to the store has failed. @param calledAt when it was made, since the store may have recovered after that
+    void recordOutage(TimePoint calledAt)
     {
-        m_outageAt = now;
+        m_outageAt = std::max(m_outageAt.value_or(calledAt), calledAt);
     }
 
     /// Returns the last time at which the copy is known to have agreed with the store; nothing before the table was first read.
@@ -49,18 +46,19 @@
     }
 
     /**
-     * Returns since when a row may have been missing that this node has just found to be missing. A row that may have expired during an
-     * outage counts from now on.
+     * Returns since when a row may have been missing that this node has just found to be missing: since the copy last agreed with the store
+     * or, as the row may have expired during an outage, since a call to the store last failed. Neither is later than the removal of a row
+     * while the store answers, however late this node learns of it.
+     * @param now current time, which counts if the table has not been read
      */
     [[nodiscard]] TimePoint missingSince(TimePoint now) const noexcept
     {
-        const bool mayHaveExpired = !m_currentAsOf || (m_outageAt && *m_currentAsOf < *m_outageAt + RewriteTime);
-        return mayHaveExpired ? now : *m_currentAsOf;
+        return m_currentAsOf ? std::max(*m_currentAsOf, m_outageAt.value_or(*m_currentAsOf)) : now;
     }
 
 private:
     std::optional<TimePoint> m_currentAsOf;
-    std::optional<TimePoint> m_outageAt; ///< Last time at which the store did not answer.
+    std::optional<TimePoint> m_outageAt; ///< When the last failed call to the store was made.
 };
 
 } // namespace apricotarch
--- a/src/app/fleet_synchronizer_store.cpp
+++ b/src/app/fleet_synchronizer_store.cpp
@@ -22,12 +22,6 @@
 /// Interval at which a node that does not read the store checks whether it has to.
 constexpr Duration FollowerPollInterval = 100ms;
 
-/// A poll that took longer was held by the store, which answers at once if there are changes.
-constexpr Duration ImmediateAnswerTime = 100ms;
-
-/// Polls that follow the answer before within this time leave out no considerable span. It exceeds ServerChangesPause.
-constexpr Duration LongestPollGap = 500ms;
-
 /// Interval at which a node that reads the store checks whether it can still be reached. A long poll shows that only at its end.
 constexpr Duration ReachabilityCheckInterval = 600ms;
 
@@ -55,18 +49,19 @@
             version = StorePosition();
         }
         const bool isFullTable = !version.exists();
-        const TimePoint calledAt = m_state.clock.now();
-        const Result<RowBatch> batch = co_await readTable(table, pause > FirstRetryPause);
+        const TableAnswer answer = co_await readTable(table, pause > FirstRetryPause);
+        const Result<RowBatch> &batch = answer.batch;
         if (batch) {
             recordStoreIncarnation(batch->version.incarnation(), "store");
         }
-        updateStoreStatus(table, batch);
+        updateStoreStatus(table, batch, answer.calledAt);
         if (batch) {
             pause = FirstRetryPause;
             if (table == Table::Plan) {
                 m_fleetTables.applyPlanRows(batch->rows);
             } else {
-                applyServerBatch(*batch, isFullTable, calledAt);
+                m_fleetTables.applyServerRows(batch->rows, batch->version, isFullTable);
+                m_state.backends.currency().recordCurrent(answer.currentAsOf);
             }
             version = std::max(version, batch->version);
             if (table == Table::Servers && !batch->rows.empty()) {
@@ -85,40 +80,33 @@
     }
 }
 
-void FleetSynchronizer::applyServerBatch(const RowBatch &batch, bool isFullTable, TimePoint calledAt)
-{
-    const TimePoint now = m_state.clock.now();
-    TableCurrency &currency = m_state.backends.currency();
-    const bool wasHeld = !isFullTable && now - calledAt > ImmediateAnswerTime;
-    if (wasHeld && currency.isCurrentSince(calledAt - LongestPollGap)) {
-        currency.recordCurrent(now); // The rows have just changed.
-    }
-    m_fleetTables.applyServerRows(batch.rows, batch.version, isFullTable);
-    currency.recordCurrent(now);
-}
-
-asio::awaitable<Result<RowBatch>> FleetSynchronizer::readTable(Table table, bool recovering)
+asio::awaitable<FleetSynchronizer::TableAnswer> FleetSynchronizer::readTable(Table table, bool recovering)
 {
     const std::string &name = table == Table::Plan ? m_fleetTables.decoders().planTable : m_fleetTables.decoders().serversTable;
     const StorePosition version = table == Table::Plan ? m_planReadVersion : m_serversReadVersion;
+    TimePoint calledAt = m_state.clock.now();
     if (!version.exists()) {
-        co_return co_await m_tables.readTable(name);
+        Result<RowBatch> rows = co_await m_tables.readTable(name);
+        co_return TableAnswer{std::move(rows), calledAt, calledAt};
     }
     // The store may never answer a long poll that was sent during an outage, so long polls resume only after a successful call.
     if (!recovering) {
-        Result<RowBatch> changes = co_await pollChanges(table, version);
-        if (changes || changes.error().id != ErrorId::TimedOut) {
-            co_return changes;
+        TableAnswer answer = co_await pollChanges(table, version);
+        if (answer.batch || answer.batch.error().id != ErrorId::TimedOut) {
+            co_return answer;
         }
+        calledAt = m_state.clock.now();
     }
-    co_return co_await m_tables.readChanges(name, version, Duration::zero());
+    Result<RowBatch> changes = co_await m_tables.readChanges(name, version, Duration::zero());
+    co_return TableAnswer{std::move(changes), calledAt, calledAt};
 }
 
-asio::awaitable<Result<RowBatch>> FleetSynchronizer::pollChanges(Table table, StorePosition version)
+asio::awaitable<FleetSynchronizer::TableAnswer> FleetSynchronizer::pollChanges(Table table, StorePosition version)
 {
     const std::string &name = table == Table::Plan ? m_fleetTables.decoders().planTable : m_fleetTables.decoders().serversTable;
     const auto index = static_cast<std::size_t>(table);
-    const Duration wait = m_pollSchedule.begin(index, m_state.clock.now());
+    const TimePoint calledAt = m_state.clock.now();
+    const Duration wait = m_pollSchedule.begin(index, calledAt);
     Result<RowBatch> changes = co_await m_tables.readChanges(name, version, wait);
     m_pollSchedule.end(index);
     if (!changes && changes.error().id == ErrorId::TimedOut) {
@@ -128,7 +116,10 @@
             .error(changes.error());
         m_tables.abandonPolls();
     }
-    co_return changes;
+    // Without changes the store answers at the end of the wait. Changes may have waited in this node's socket.
+    const bool wasHeld = changes && changes->rows.empty();
+    const TimePoint currentAsOf = wasHeld ? std::min(calledAt + wait, m_state.clock.now()) : calledAt;
+    co_return TableAnswer{std::move(changes), calledAt, currentAsOf};
 }
 
 asio::awaitable<void> FleetSynchronizer::checkStoreReachability()
@@ -167,11 +158,11 @@
     m_registration.registerAgain();
 }
 
-void FleetSynchronizer::updateStoreStatus(Table table, const Result<RowBatch> &result)
+void FleetSynchronizer::updateStoreStatus(Table table, const Result<RowBatch> &result, TimePoint calledAt)
 {
     const bool failed = !result && result.error().id != ErrorId::HistoryDropped;
     if (failed) {
-        m_state.backends.currency().recordOutage(m_state.clock.now());
+        m_state.backends.currency().recordOutage(calledAt);
     }
     if (!result) {
         m_state.metrics.increment(CounterFamily::Configurations, std::string("store_") + errorName(result.error().id));
--- a/src/app/fleet_tables.cpp
+++ b/src/app/fleet_tables.cpp
@@ -222,6 +222,7 @@
         // A row of an earlier incarnation may be written again, see settleAfterRestore().
         const bool isUnconfirmed = row.version.incarnation() < version.incarnation();
         if (!row.removed && !isUnconfirmed && row.version <= version && !present.contains(key)) {
+            logRemoval(key, version);
             replaceRow(known, {key, "", version, true});
         }
     }
@@ -242,10 +243,19 @@
     LogEvent("servers.read").field("servers", records.size()).field("row_version", version);
 }
 
+void FleetTables::logRemoval(const std::string &key, StorePosition version) const
+{
+    const TimePoint now = m_state.clock.now();
+    LogEvent("server.removed")
+        .field("server", key)
+        .field("row_version", version)
+        .field("missing_ms", toMilliseconds(now - m_state.backends.currency().missingSince(now)));
+}
+
 std::optional<BackendRecord> FleetTables::decodeOrRemove(const StoredRow &row)
 {
     if (row.removed) {
-        LogEvent("server.removed").field("server", row.key).field("row_version", row.version);
+        logRemoval(row.key, row.version);
         m_state.backends.remove(ReplicaId(row.key), m_state.clock.now());
         return std::nullopt;
     }
--- a/tests/src/unit-backend_table.cpp
+++ b/tests/src/unit-backend_table.cpp
@@ -253,15 +253,27 @@
     BOOST_TEST(table.selectUsable(Service, Start + BackendTable::RemovedServerGracePeriod).empty());
 }
 
-BOOST_AUTO_TEST_CASE(are_used_for_the_whole_time_if_the_store_has_not_answered)
+BOOST_AUTO_TEST_CASE(are_used_for_the_whole_time_since_the_store_last_failed_to_answer)
 {
     BackendTable table;
     table.update(record("a"), Start);
     table.currency().recordCurrent(Start);
     table.currency().recordOutage(Start + 5s);
     table.remove(ReplicaId("a"), Start + 6s);
-    BOOST_TEST(table.selectUsable(Service, Start + 6s + BackendTable::RemovedServerGracePeriod - 1ms).size() == 1U);
-    BOOST_TEST(table.selectUsable(Service, Start + 6s + BackendTable::RemovedServerGracePeriod).empty());
+    BOOST_TEST(table.selectUsable(Service, Start + 5s + BackendTable::RemovedServerGracePeriod - 1ms).size() == 1U);
+    BOOST_TEST(table.selectUsable(Service, Start + 5s + BackendTable::RemovedServerGracePeriod).empty());
+}
+
+BOOST_AUTO_TEST_CASE(are_not_used_for_longer_if_their_removal_after_the_outage_is_learned_of_late)
+{
+    // The time counted from the moment at which the removal was learned of, if a call had failed shortly before.
+    BackendTable table;
+    table.update(record("a"), Start);
+    table.currency().recordOutage(Start + 3s);
+    table.currency().recordCurrent(Start + 4s);
+    table.remove(ReplicaId("a"), Start + 5s);
+    BOOST_TEST(table.selectUsable(Service, Start + 5s).size() == 1U);
+    BOOST_TEST(table.selectUsable(Service, Start + 4s + BackendTable::RemovedServerGracePeriod).empty());
 }
 
 BOOST_AUTO_TEST_CASE(are_not_used_if_there_is_a_registered_one)
--- a/tests/src/unit-fleet_synchronizer.cpp
+++ b/tests/src/unit-fleet_synchronizer.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -571,6 +572,72 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_server_that_is_gone_is_not_used_for_longer_after_calls_to_the_store_have_failed)
+{
+    // If a call had failed up to 2 s before the nodes that read the store ended, the two waits added up again: last requests 2,035 to 2,163
+    // ms after the removal.
+    struct Conditions
+    {
+        Duration failing; ///< How long calls to the store fail.
+        Duration answering; ///< How long they are answered again before the removal.
+        Duration answerDelay; ///< Of full reads.
+        bool readersEnd; ///< Whether the nodes that read the store end at the removal.
+    };
+    constexpr Duration Bound = 2s;
+    const auto conditions = std::to_array<Conditions>({
+        {400ms, 700ms, 0ms, true},
+        {1s, 100ms, 0ms, true},
+        {1s, 1s, 0ms, true},
+        {3s, 500ms, 0ms, true},
+        {3s, 1500ms, 0ms, true},
+        {3s, 1900ms, 400ms, true},
+        {1s, 100ms, 0ms, false},
+        {3s, 700ms, 0ms, false},
+    });
+    for (const auto &[failing, answering, answerDelay, readersEnd] : conditions) {
+        BOOST_TEST_CONTEXT("failing " << toMilliseconds(failing) << " ms, then answering " << toMilliseconds(answering) << " ms")
+        {
+            Simulation simulation;
+            std::vector<std::unique_ptr<Node>> nodes;
+            for (const auto &[name, host] :
+                {std::pair("a", "127.0.0.1"), std::pair("b", "127.0.0.2"), std::pair("c", "127.0.0.3"), std::pair("d", "127.0.0.4")}) {
+                nodes.push_back(std::make_unique<Node>(simulation.eventLoops, simulation.clock, simulation.peerPort, name, host));
+                nodes.back()->tables.rows[PlanTable] = {row("config", "3", 1)};
+                nodes.back()->tables.rows[ServersTable] = {row("i-1", "r", 2)};
+                nodes.back()->tables.answerDelay = answerDelay;
+            }
+            const auto advance = [&simulation](Duration duration) {
+                for (; duration > 100ms; duration -= 100ms) {
+                    simulation.advance(100ms);
+                }
+                simulation.advance(duration);
+            };
+            advance(3s);
+            for (const std::unique_ptr<Node> &node : nodes) {
+                node->tables.failing = {{PlanTable, ErrorId::StoreUnavailable}, {ServersTable, ErrorId::StoreUnavailable}};
+            }
+            advance(failing);
+            for (const std::unique_ptr<Node> &node : nodes) {
+                node->tables.failing.clear();
+            }
+            advance(answering);
+            if (readersEnd) {
+                for (const std::size_t reader : {0, 1}) {
+                    nodes[reader]->authenticator = MessageAuthenticator("of no other node, 16 characters"); // As if it had ended.
+                }
+            }
+            for (const std::unique_ptr<Node> &node : nodes) {
+                node->tables.version = StorePosition(3);
+                node->tables.rows[ServersTable] = {{"i-1", "", StorePosition(3), true}};
+            }
+            advance(Bound);
+            for (const std::size_t other : {2, 3}) {
+                BOOST_TEST(usableServers(*nodes[other], simulation.clock.now()).empty());
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_starts_again_after_a_planned_stop_is_used_though_it_had_dropped_a_connection_before)
 {
     // The dropped connection was taken for the end of the previous process, whose announcement of its shutdown then counted for good.
