--- a/src/transport/backend_connection_pool.cpp
+++ b/src/transport/backend_connection_pool.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/algorithm/string/predicate.hpp>
+
 #include "apricotarch/transport/backend_connection.h"
 
 namespace apricotarch
@@ -78,11 +80,15 @@
     }
     connection->idleSince = now;
     connection->idleTimeout = m_limits.idleTimeout;
-    const std::string_view keepAlive = connection->head().headers.value("Keep-Alive");
-    if (const auto timeoutAt = keepAlive.find("timeout="); timeoutAt != std::string_view::npos) {
+    for (std::string_view parameter : connection->head().headers.listElements("Keep-Alive")) {
+        constexpr std::string_view Timeout = "timeout=";
+        if (!boost::algorithm::istarts_with(parameter, Timeout, std::locale::classic())) {
+            continue;
+        }
+        parameter.remove_prefix(Timeout.size());
         int seconds = 0;
-        std::from_chars(keepAlive.data() + timeoutAt + 8, keepAlive.data() + keepAlive.size(), seconds);
-        connection->idleTimeout = std::min<Duration>(m_limits.idleTimeout, std::chrono::seconds(seconds) - CloseMargin);
+        std::from_chars(parameter.data(), parameter.data() + parameter.size(), seconds);
+        connection->idleTimeout = std::min<Duration>(connection->idleTimeout, std::chrono::seconds(seconds) - CloseMargin);
     }
     connection->watchIdle();
     idle.push_back(std::move(connection));
--- a/src/transport/message_parser.cpp
+++ b/src/transport/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "apricotarch/transport/message_parser.h"
 
+#include <algorithm>
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -185,7 +187,9 @@
         impl.head.headers = std::move(impl.parser.headers);
         impl.head.keepAlive = impl.parser.keep_alive();
         impl.head.acceptsChunked = impl.parser.version >= 11;
-        impl.head.expectsContinue = beast::iequals(impl.head.headers.value("Expect"), "100-continue");
+        impl.head.expectsContinue = std::ranges::any_of(impl.head.headers.listElements("Expect"), [](std::string_view expectation) {
+            return beast::iequals(expectation, "100-continue");
+        });
     }
     return impl.head;
 }
--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -216,6 +216,27 @@
     BOOST_TEST(!contains(protocolAdapter.encodeRequest(*request, options), "Last-Event-Id: 12\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(and_an_answer_lose_the_headers_that_any_connection_header_names)
+{
+    // Names in a second Connection header were forwarded.
+    const platform::ProtocolAdapter protocolAdapter;
+    const HttpHeaders headers = {{"Host", "a"},
+        {"Connection", "keep-alive"},
+        {"X-First", "1"},
+        {"connection", ", X-First,\tx-second"},
+        {"X-Second", "2"},
+        {"X-Third", "3"}};
+    const Result<CallerRequest> request = protocolAdapter.decodeRequest("GET", "/a/", headers);
+    const std::string message = protocolAdapter.encodeRequest(*request, {});
+    BOOST_TEST(!contains(message, "X-First"));
+    BOOST_TEST(!contains(message, "X-Second"));
+    BOOST_TEST(contains(message, "X-Third: 3\r\n"));
+    const BackendAnswer answer = protocolAdapter.decodeAnswer(200, "OK", headers);
+    BOOST_TEST(answer.forwardedHeaders.value("X-First").empty());
+    BOOST_TEST(answer.forwardedHeaders.value("X-Second").empty());
+    BOOST_TEST(answer.forwardedHeaders.value("X-Third") == "3");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(a_receipt_whose_handle_would_add_headers_is_invalid)
@@ -346,6 +367,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ask_for_an_interim_answer_in_any_element_of_a_list)
+{
+    for (const char *lines :
+        {"Expect: 100-continue\r\n", "Expect: ,100-Continue\r\n", "Expect: other\r\nX-A: 1\r\nexpect: 100-continue\r\n"}) {
+        RequestParser parser{ReadLimits()};
+        const std::string text = std::string("POST /a/ HTTP/1.1\r\nHost: h\r\n") + lines + "Content-Length: 1\r\n\r\n";
+        BOOST_REQUIRE(feedInSteps(parser, text, 1000).has_value());
+        BOOST_TEST(parser.head().expectsContinue, lines);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(beyond_a_size_limit_fail_with_the_step_of_that_limit)
 {
     RequestParser longHead{ReadLimits{64, 100}};
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -27,6 +27,24 @@
     BOOST_TEST(answer.ends_with("\r\n\r\nbooked visi"));
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_the_idle_time_that_any_keep_alive_header_names)
+{
+    // Only the first of several Keep-Alive headers was read.
+    for (const auto &[keepAlive, connections] : {std::pair("Keep-Alive: max=100\r\nkeep-alive: max=99, Timeout=1\r\n", 2U),
+             std::pair("Keep-Alive: max=100\r\nkeep-alive: max=99, Timeout=9\r\n", 1U)}) {
+        TestNode node;
+        ScriptedServer &server = node.addServer("a", [keepAlive](const RequestHead &head, const std::string &) {
+            std::string answer = fullResponse(head, "week");
+            boost::algorithm::replace_first(answer, "Content-Length", std::string(keepAlive) + "Content-Length");
+            return ScriptedAnswer{answer};
+        });
+        for (const char *id : {"r20", "r21"}) {
+            BOOST_TEST(node.sendRequest(boost::algorithm::replace_first_copy(ViewRequest, "r2", id), "week").ends_with("week"));
+        }
+        BOOST_TEST(server.connections == connections);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE(a_booking)
 
 BOOST_AUTO_TEST_CASE(whose_connection_is_lost_is_neither_retried_nor_refused)
