--- a/include/apricotarch/transport/http_message.h
+++ b/include/apricotarch/transport/http_message.h
@@ -36,6 +36,13 @@
      */
     [[nodiscard]] std::string_view value(std::string_view name) const noexcept;
 
+    /**
+     * Checks a header that a message may have only once.
+     * @param name header name in any case
+     * @return whether several headers have this name and not all have the same value, so that the sender's intention is unknown
+     */
+    [[nodiscard]] bool hasConflictingValues(std::string_view name) const noexcept;
+
     /**
      * Returns the elements of a header whose value is a comma-separated list (RFC 9110, 5.3 and 5.6.1): those of all headers of this name,
      * in order, without surrounding whitespace and without empty ones. Not for lists that may contain quoted strings.
--- a/src/transport/http_message.cpp
+++ b/src/transport/http_message.cpp
@@ -1,5 +1,6 @@
 #include "apricotarch/transport/http_message.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/algorithm/string/classification.hpp>
@@ -30,6 +31,14 @@
     return {};
 }
 
+bool HttpHeaders::hasConflictingValues(std::string_view name) const noexcept
+{
+    const std::string_view first = value(name);
+    return std::ranges::any_of(m_headers, [&](const HttpHeader &header) {
+        return header.value != first && boost::algorithm::iequals(header.name, name, std::locale::classic());
+    });
+}
+
 std::vector<std::string_view> HttpHeaders::listElements(std::string_view name) const
 {
     std::vector<std::string_view> elements;
--- a/tests/src/unit-protocol_adapter.cpp
+++ b/tests/src/unit-protocol_adapter.cpp
@@ -178,6 +178,22 @@
     BOOST_TEST(!platform::ProtocolAdapter().decodeRequest("GET", "/a/", headers).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(is_invalid_if_a_header_that_may_occur_once_has_two_values)
+{
+    // The first value counted, and backend servers got both: a stream could go on after another event than the caller had asked for.
+    const platform::ProtocolAdapter protocolAdapter;
+    for (const auto &[name, first, second] : {std::tuple("X-Deadline-Ms", "8000", "80"),
+             std::tuple("Last-Event-Id", "12", "13"),
+             std::tuple("Resumes", "r1", "r2"),
+             std::tuple("X-Model", "m", "n")}) {
+        const Result<CallerRequest> conflicting = protocolAdapter.decodeRequest(
+            "POST", "/a/", {{"Host", "a"}, {name, first}, {boost::algorithm::to_lower_copy(std::string(name)), second}});
+        BOOST_REQUIRE(!conflicting.has_value());
+        BOOST_TEST(conflicting.error().detail.find(name) != std::string::npos);
+        BOOST_TEST(protocolAdapter.decodeRequest("POST", "/a/", {{"Host", "a"}, {name, first}, {name, first}}).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_forwarded_unchanged_except_for_hop_by_hop_and_reserved_headers)
 {
     HttpHeaders headers = requestHeaders();
