Ask engines whether they have ended before a lost connection counts as their crash

What callers saw: while connections were being reset, streams that they resumed were refused as crashing content (503).

Cause: a loss of a connection later than 5 ms after the request was sent counted as a crash of the server without a check, and two of them quarantine the content, which the resumed request repeats.

Change: 50 ms after a loss at an engine, the node asks the engine for a connection and for the start of its process, once for all losses there. The same process refutes the crash. Until then it counts at this node only, so that a retry is refused as early as before; other nodes are told of confirmed crashes. Booking servers cannot be asked: their losses count at once, as before.

The new test by_engines_that_have_not_ended_is_not_refused failed with the check disabled: the second request was refused after 2 of 6 sends.

--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -20,6 +20,7 @@
 #include "apricotarch/coordination/prompt_part_quarantine.h"
 #include "apricotarch/coordination/service_versions.h"
 #include "apricotarch/coordination/shutdown_schedule.h"
+#include "apricotarch/coordination/stage_order.h"
 #include "apricotarch/scheduling/server_speeds.h"
 #include "apricotarch/state/metrics.h"
 #include "apricotarch/state/rate_meter.h"
@@ -132,6 +133,8 @@
     std::function<asio::awaitable<bool>(StreamKey)> askForStreamOrigin;
     /// Confirms that the table of servers was not outdated at a time; see ServerTableCheck::confirm().
     std::function<asio::awaitable<bool>(TimePoint)> confirmServers;
+    /// Asks an engine for its state; see StageController::readReport(). Not set if engines cannot be asked.
+    std::function<asio::awaitable<Result<EngineStageReport>>(BackendPointer)> readEngineReport;
     /// Called when a stream of this node has begun, with its keys.
     std::function<void(const std::vector<StreamRecord> &)> onStreamBegan;
     StreamVersionTable streamVersions; ///< Streams that began at this node, or of which other nodes have told it.
--- a/include/apricotarch/app/possible_crash.h
+++ b/include/apricotarch/app/possible_crash.h
@@ -28,15 +28,18 @@
     std::vector<PromptPart> prompt; ///< Parts of the request's prompt; empty if it has none or an answer has cleared it.
     double likelihood = 1; ///< That the prompt is the cause, see crashLikelihood().
     TimePoint at;
+    /// Whether the server may have closed the connection without having read the request: an idle one, or one beyond the number that it
+    /// accepts.
+    bool mayBeUnread = false;
 };
 
-/// Records a crash of a server as evidence against the request and the parts of its prompt.
-void recordCrash(FrontState &state, const PossibleCrash &crash);
-
 /**
- * Records a crash unless the server still accepts connections a moment later. For a connection that the server may have closed without
- * having read the request: an idle one, or one beyond the number that it accepts. No server starts again within that moment.
+ * Records the loss of a connection as a crash of its server, which is evidence against the request and the parts of its prompt.
+ *
+ * Connections are also lost without a crash. A moment later the server is asked for a connection and, if it is an engine, for the start of
+ * its process: the same process refutes the crash. Until then, the crash counts at this node only. Other servers than engines cannot be
+ * asked, so their losses count at once. A loss with mayBeUnread counts only if the server refuses a connection.
  */
-void recordCrashUnlessServerAccepts(FrontState &state, PossibleCrash crash);
+void recordLoss(FrontState &state, PossibleCrash crash);
 
 } // namespace apricotarch
--- a/include/apricotarch/app/stage_controller.h
+++ b/include/apricotarch/app/stage_controller.h
@@ -40,6 +40,10 @@
     /// Polls for due changes and orders them. Never returns.
     [[nodiscard]] asio::awaitable<void> run();
 
+    /// Asks an engine for its state, on a new connection. @return UnexpectedStatus if it has not answered within a second, or not with 200;
+    /// MalformedMessage or InvalidField if its answer cannot be read
+    [[nodiscard]] asio::awaitable<Result<EngineStageReport>> readReport(BackendPointer engine);
+
 private:
     /// A stage change that is due.
     struct PendingChange
@@ -58,7 +62,6 @@
     [[nodiscard]] BackendPointer announceChange(const PendingChange &pending);
     /// Sends an order if the engine is idle and the lease is still held; cancels the change otherwise.
     [[nodiscard]] asio::awaitable<void> orderUnderLease(BackendPointer engine, EngineStage stage);
-    [[nodiscard]] asio::awaitable<Result<EngineStageReport>> readReport(BackendPointer engine);
     [[nodiscard]] asio::awaitable<BackendCallAnswer> sendToEngine(const BackendPointer &engine, std::string message);
     /// Whether an engine may be sent reports' requests and orders. It may change while another call is awaited.
     [[nodiscard]] bool takesOrders(const Backend &engine) const;
--- a/include/apricotarch/coordination/crash_tracker.h
+++ b/include/apricotarch/coordination/crash_tracker.h
@@ -65,6 +65,15 @@
      */
     void recordCrash(const ReplicaId &replica, ContentHash content, TimePoint now);
 
+    /// As recordCrash(), for a crash that is yet to be confirmed. It counts for this node's decisions and is not reported to other nodes.
+    void recordUnconfirmedCrash(const ReplicaId &replica, ContentHash content, TimePoint now);
+
+    /// Confirms an unconfirmed crash, unless the content has been cleared since. @param at time of the crash
+    void confirmCrash(ContentHash content, TimePoint at);
+
+    /// Drops an unconfirmed crash, since the replica has not ended.
+    void refuteCrash(ContentHash content);
+
     // ---- decisions ----
 
     /// Returns whether requests with this content are quarantined.
@@ -121,6 +130,7 @@
     mutable std::mutex m_mutex;
     std::map<ReplicaId, std::multiset<ContentHash>> m_running;
     std::map<ContentHash, Record> m_records;
+    std::multiset<ContentHash> m_unconfirmed; ///< An element for each unconfirmed crash.
     ContentHash m_lastReported; ///< Up to which the records have been reported in the present cycle.
 };
 
--- a/include/apricotarch/coordination/prompt_part_quarantine.h
+++ b/include/apricotarch/coordination/prompt_part_quarantine.h
@@ -41,6 +41,7 @@
     std::uint32_t process = 0; ///< See engineProcessHash().
     TimePoint at;
     double likelihood = 1; ///< That the prompt is the cause, see crashLikelihood().
+    bool isConfirmed = true; ///< Whether the process is known to have ended. Other nodes are told only of such crashes.
 };
 
 /// Evidence on parts of prompts, and the parts in quarantine. Not thread-safe; used on one event loop.
@@ -70,6 +71,12 @@
      */
     void recordCrash(const std::vector<PromptPart> &prompt, const ObservedCrash &crash);
 
+    /// Confirms the unconfirmed crashes of a process, so that other nodes are told of them.
+    void confirmCrash(std::uint32_t process);
+
+    /// Drops the unconfirmed crashes of a process, which has not ended.
+    void refuteCrash(std::uint32_t process);
+
     /// Records that a prompt was answered, or that its answer has gone on for SafeAnswerTime. Clears its parts of earlier crashes.
     void recordAnswer(const std::vector<PromptPart> &prompt, TimePoint now);
 
@@ -100,6 +107,7 @@
     {
         TimePoint at;
         double likelihood = 1; ///< Of the likeliest prompt with the part at that process.
+        bool isConfirmed = true;
     };
 
     struct Evidence
--- a/src/app/front.cpp
+++ b/src/app/front.cpp
@@ -165,6 +165,9 @@
         if (Result<void> started = m_fleetSynchronizer.start(m_eventLoops.coordinationLoop()); !started) {
             return started;
         }
+        m_state.readEngineReport = [this](BackendPointer engine) {
+            return m_stageController.readReport(std::move(engine));
+        };
         asio::co_spawn(m_eventLoops.coordinationLoop(), acceptCallers(), LogFailure("accept_callers"));
         asio::co_spawn(m_eventLoops.coordinationLoop(), watchSettings(), LogFailure("watch_settings"));
         const auto controlStages = [this] {
--- a/src/app/request_forwarder_outcome.cpp
+++ b/src/app/request_forwarder_outcome.cpp
@@ -180,11 +180,8 @@
     if (activeAttempt.firstEventAt) {
         crash.likelihood = crashLikelihood(crash.at - *activeAttempt.firstEventAt);
     }
-    if (isUnread(activeAttempt, crash.at)) {
-        recordCrashUnlessServerAccepts(m_state, std::move(crash));
-    } else {
-        recordCrash(m_state, crash);
-    }
+    crash.mayBeUnread = isUnread(activeAttempt, crash.at);
+    recordLoss(m_state, std::move(crash));
 }
 
 void RequestForwarder::recordPromptAnswered(ActiveAttempt &activeAttempt)
--- a/src/coordination/crash_tracker.cpp
+++ b/src/coordination/crash_tracker.cpp
@@ -47,12 +47,14 @@
 
 int CrashTracker::crashCount(ContentHash content, TimePoint now) const
 {
+    const int unconfirmed = static_cast<int>(m_unconfirmed.count(content));
     const auto found = m_records.find(content);
-    return found == m_records.end() || expiryTime(found->second) <= now ? 0 : found->second.crashes;
+    return unconfirmed + (found == m_records.end() || expiryTime(found->second) <= now ? 0 : found->second.crashes);
 }
 
 void CrashTracker::clear(ContentHash content, TimePoint now)
 {
+    m_unconfirmed.erase(content);
     const auto found = m_records.find(content);
     if (found != m_records.end()) {
         found->second = {0, now, ReportsPerChange};
@@ -93,6 +95,32 @@
     record = {record.crashes + 1, now, ReportsPerChange};
 }
 
+void CrashTracker::recordUnconfirmedCrash(const ReplicaId &replica, ContentHash content, TimePoint now)
+{
+    recordEnd(replica, content, false, now);
+    const std::lock_guard lock(m_mutex);
+    m_unconfirmed.insert(content);
+}
+
+void CrashTracker::confirmCrash(ContentHash content, TimePoint at)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto found = m_unconfirmed.find(content); found != m_unconfirmed.end()) {
+        m_unconfirmed.erase(found);
+        removeExpired(at);
+        Record &record = m_records[content];
+        record = {record.crashes + 1, std::max(record.at, at), ReportsPerChange};
+    }
+}
+
+void CrashTracker::refuteCrash(ContentHash content)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto found = m_unconfirmed.find(content); found != m_unconfirmed.end()) {
+        m_unconfirmed.erase(found);
+    }
+}
+
 bool CrashTracker::isQuarantined(ContentHash content, TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/coordination/prompt_part_quarantine.cpp
+++ b/src/coordination/prompt_part_quarantine.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <sstream>
 #include <tuple>
+#include <utility>
 
 #include "apricotarch/base/log.h"
 
@@ -68,7 +69,7 @@
         }
         Evidence &evidence = m_evidence[prompt[index].id];
         evidence.position = std::max(evidence.position, static_cast<int>(index));
-        if (addCrash(evidence, crash)) {
+        if (addCrash(evidence, crash) && crash.isConfirmed) {
             evidence.reportsLeft = ReportsPerChange;
         }
     }
@@ -80,12 +81,33 @@
     if (evidence.answeredAt && crash.at <= *evidence.answeredAt) {
         return false;
     }
-    const auto [found, isNew] = evidence.crashes.try_emplace(crash.process, Crash{crash.at, crash.likelihood});
-    if (isNew || found->second.likelihood >= crash.likelihood) {
-        return isNew;
+    const auto [found, isNew] = evidence.crashes.try_emplace(crash.process, Crash{crash.at, crash.likelihood, crash.isConfirmed});
+    Crash &known = found->second;
+    const bool changes = isNew || known.likelihood < crash.likelihood || (crash.isConfirmed && !known.isConfirmed);
+    known.likelihood = std::max(known.likelihood, crash.likelihood);
+    known.isConfirmed = known.isConfirmed || crash.isConfirmed;
+    return changes;
+}
+
+void PromptPartQuarantine::confirmCrash(std::uint32_t process)
+{
+    for (auto &[part, evidence] : m_evidence) {
+        const auto found = evidence.crashes.find(process);
+        if (found != evidence.crashes.end() && !std::exchange(found->second.isConfirmed, true)) {
+            evidence.reportsLeft = ReportsPerChange;
+        }
     }
-    found->second.likelihood = crash.likelihood;
-    return true;
+}
+
+void PromptPartQuarantine::refuteCrash(std::uint32_t process)
+{
+    for (auto &[part, evidence] : m_evidence) {
+        const auto found = evidence.crashes.find(process);
+        if (found != evidence.crashes.end() && !found->second.isConfirmed) {
+            evidence.crashes.erase(found);
+        }
+    }
+    evaluate();
 }
 
 void PromptPartQuarantine::recordAnswer(const std::vector<PromptPart> &prompt, TimePoint now)
@@ -207,7 +229,9 @@
         evidence.reportsLeft = std::max(0, evidence.reportsLeft - 1);
         PartEvidence report{entry->first, evidence.position, {}, std::nullopt};
         for (const auto &[process, crash] : evidence.crashes) {
-            report.crashes.push_back({process, age(crash.at), crash.likelihood});
+            if (crash.isConfirmed) {
+                report.crashes.push_back({process, age(crash.at), crash.likelihood});
+            }
         }
         if (evidence.answeredAt) {
             report.answerAge = age(*evidence.answeredAt);
--- a/tests/src/unit-prompt_part_quarantine.cpp
+++ b/tests/src/unit-prompt_part_quarantine.cpp
@@ -71,6 +71,34 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(is_reported_once_the_end_of_the_engines_is_confirmed_and_forgotten_if_it_is_refuted)
+{
+    std::array<PromptPartQuarantine, 2> nodes;
+    for (std::uint32_t process = 1; process <= 4; ++process) {
+        nodes[0].recordCrash(promptOf({DeadlyPart}), {process, Start, 1, false});
+    }
+    BOOST_TEST(refuses(nodes[0], DeadlyPart));
+    exchangeReports(nodes, Start + 100ms);
+    BOOST_TEST(!refuses(nodes[1], DeadlyPart));
+    for (const std::uint32_t process : {1U, 2U, 3U}) {
+        nodes[0].confirmCrash(process);
+    }
+    exchangeReports(nodes, Start + 200ms);
+    BOOST_TEST(refuses(nodes[1], DeadlyPart));
+
+    PromptPartQuarantine refuted;
+    for (std::uint32_t process = 1; process <= 4; ++process) {
+        refuted.recordCrash(promptOf({7}), {process, Start, 1, process == 1});
+    }
+    for (std::uint32_t process = 1; process <= 4; ++process) {
+        refuted.refuteCrash(process);
+    }
+    BOOST_TEST(!refuses(refuted, 7));
+    const std::vector<PartEvidence> reports = refuted.nextReports(Start + 100ms);
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports[0].crashes.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(is_not_confused_with_a_sound_part_that_was_in_all_the_same_prompts)
 {
     PromptPartQuarantine node;
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -1403,6 +1403,98 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_prompt_whose_connections_are_reset)
+
+namespace
+{
+
+/// Engines that reset the connections of prompts some time after they have read them, and answer when they are asked for the start of their
+/// process.
+class ResettingEngines
+{
+public:
+    ResettingEngines(TestNode &node, int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            const std::string id = "i-" + std::to_string(index);
+            node.addEngine(id.c_str(), EngineStage::Decode, [this](const RequestHead &head, const std::string &) {
+                ++prompts;
+                if (!resets) {
+                    return ScriptedAnswer{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+                }
+                return ScriptedAnswer{.bytes = "", .closes = true, .delay = 20ms};
+            });
+            BackendRecord record = node.state.backends.find(ReplicaId(id))->record;
+            record.startedAt = StartedAt;
+            node.state.backends.update(record, node.state.clock.now());
+        }
+        node.state.readEngineReport = [this](BackendPointer engine) -> asio::awaitable<Result<EngineStageReport>> {
+            ++checks;
+            if (!reportedStart) {
+                co_return fail(ErrorId::UnexpectedStatus, "report.read", engine->record.address.text(), "status 0");
+            }
+            EngineStageReport report;
+            report.startedAt = *reportedStart;
+            co_return report;
+        };
+    }
+
+    static constexpr std::int64_t StartedAt = 7;
+    std::optional<std::int64_t> reportedStart = StartedAt;
+    bool resets = true;
+    int prompts = 0;
+    int checks = 0;
+};
+
+/// Time in which a node finds out whether an engine's process has ended.
+constexpr std::chrono::milliseconds CheckTime = 200ms;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(by_engines_that_have_not_ended_is_not_refused)
+{
+    // Each reset counted as a crash of its engine, so that a stream whose connection was reset twice was refused when its caller resumed
+    // it.
+    TestNode node;
+    ResettingEngines engines(node, 6);
+    for (int request = 0; request < 3; ++request) {
+        BOOST_TEST(node.sendRequest(LongPromptRequest).starts_with("HTTP/1.1 502"));
+        node.runFor(CheckTime);
+    }
+    BOOST_TEST(engines.prompts == 6);
+    BOOST_TEST(engines.checks == 6);
+    BOOST_TEST(node.state.crashTracker.nextReports(node.state.clock.now()).empty());
+    BOOST_TEST(node.state.partQuarantine.nextReports(node.state.clock.now()).empty());
+    engines.resets = false;
+    BOOST_TEST(node.sendRequest(LongPromptRequest, "0\r\n\r\n").find(event(1)) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_if_the_engines_have_started_again)
+{
+    TestNode node;
+    ResettingEngines engines(node, 6);
+    engines.reportedStart = ResettingEngines::StartedAt + 1;
+    BOOST_TEST(node.sendRequest(LongPromptRequest).starts_with("HTTP/1.1 502"));
+    BOOST_TEST(node.state.crashTracker.nextReports(node.state.clock.now()).empty());
+    node.runFor(CheckTime);
+    BOOST_TEST(node.state.crashTracker.nextReports(node.state.clock.now()).size() == 1U);
+    BOOST_TEST(node.sendRequest(LongPromptRequest).starts_with("HTTP/1.1 503"));
+    BOOST_TEST(engines.prompts == 2);
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_if_the_engines_do_not_say_which_process_they_are)
+{
+    TestNode node;
+    ResettingEngines engines(node, 6);
+    engines.reportedStart.reset();
+    BOOST_TEST(node.sendRequest(LongPromptRequest).starts_with("HTTP/1.1 502"));
+    node.runFor(CheckTime);
+    BOOST_TEST(node.sendRequest(LongPromptRequest).starts_with("HTTP/1.1 503"));
+    BOOST_TEST(engines.prompts == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_part_of_prompts_that_crashes_engines)
 
 BOOST_AUTO_TEST_CASE(is_refused_after_three_crashes_and_sound_prompts_with_the_same_first_part_are_not)
