--- a/include/apricotarch/app/fleet_synchronizer.h
+++ b/include/apricotarch/app/fleet_synchronizer.h
@@ -77,7 +77,7 @@
     void updateStoreStatus(Table table, const Result<RowBatch> &result, TimePoint calledAt);
     /// Records the incarnation of the store that the store itself or a peer has reported. @param source either, for the log
     void recordStoreIncarnation(StoreIncarnation incarnation, const char *source);
-    /// An answer of the store, or its absence.
+    /// Result of a call to the store.
     struct TableAnswer
     {
         Result<RowBatch> batch;
--- a/include/apricotarch/state/table_currency.h
+++ b/include/apricotarch/state/table_currency.h
@@ -48,7 +48,7 @@
     /**
      * Returns since when a row may have been missing that this node has just found to be missing: since the copy last agreed with the store
      * or, as the row may have expired during an outage, since a call to the store last failed. Neither is later than the removal of a row
-     * while the store answers, however late this node learns of it.
+     * while the store answers, however late this node learns of it, but for the delay of other nodes' messages on their tables.
      * @param now current time, which counts if the table has not been read
      */
     [[nodiscard]] TimePoint missingSince(TimePoint now) const noexcept
--- a/src/app/possible_crash.cpp
+++ b/src/app/possible_crash.cpp
@@ -48,6 +48,7 @@
         && !server->statesShutdown() && !server->declines(state.clock.now()) && !server->limitsRequestRate();
 }
 
+/// Finds out, a moment after a connection to a server was lost, whether the process at the other end still runs.
 asio::awaitable<ProcessState> findProcessState(FrontState &state, PossibleCrash loss)
 {
     co_await state.clock.sleep(CheckDelay);
