--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -70,11 +70,17 @@
         }
     }
 
-    /// Resets all connections and refuses new ones, like a process that ends. No other process gets the port.
-    void end()
+    /// Refuses new connections. No other process gets the port.
+    void stopListening()
     {
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
+    }
+
+    /// Resets all connections and refuses new ones, like a process that ends.
+    void end()
+    {
+        stopListening();
         closeConnections();
     }
 
