--- a/include/apricotarch/app/possible_crash.h
+++ b/include/apricotarch/app/possible_crash.h
@@ -53,7 +53,7 @@
 
 /**
  * Fails the current exchange on a connection with ConnectionLost if the server has ended without closing its connections, which is known if
- * it refuses a new one. A server that accepts it, or does not answer, may go on.
+ * it refuses a new one. A server that accepts it, does not answer, or is known to leave may go on.
  */
 void checkSilentServer(FrontState &state, const BackendConnection::Pointer &connection);
 
--- a/tests/src/unit-request_forwarder.cpp
+++ b/tests/src/unit-request_forwarder.cpp
@@ -842,6 +842,30 @@
     BOOST_TEST(answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(keeps_its_stream_if_it_leaves_and_refuses_connections)
+{
+    TestNode node;
+    node.state.retryBudget = SharedRetryBudget({0, 0, 10s});
+    for (const char *id : {"a", "b"}) {
+        node.addServer(id, [](const RequestHead &head, const std::string &) {
+            return pausedStream(head);
+        });
+    }
+    CallerProbe caller(node, PlanRequest);
+    node.runFor(200ms);
+    for (const char *id : {"a", "b"}) {
+        BackendRecord record = node.state.backends.find(ReplicaId(id))->record;
+        record.state = BackendState::Draining;
+        node.state.backends.update(record, node.state.clock.now());
+    }
+    for (const auto &server : node.servers) {
+        server->stopListening();
+    }
+    node.runFor(Silence);
+    BOOST_TEST(caller.answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(caller.answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(answers_a_schedule_view_while_the_retry_budget_is_used_up)
 {
     TestNode node;
