--- a/src/app/possible_crash.cpp
+++ b/src/app/possible_crash.cpp
@@ -126,8 +126,8 @@
     }
 }
 
-/// Whether a server that refuses connections has ended. One that leaves may refuse them while it completes its requests.
-bool endsByRefusing(const FrontState &state, const ReplicaId &id)
+/// Whether a server has ended if it refuses connections. One that leaves may refuse them while it completes its requests.
+bool refusalMeansEnd(const FrontState &state, const ReplicaId &id)
 {
     const BackendPointer server = state.backends.find(id);
     return server && server->record.state == BackendState::Ready && !server->statesShutdown();
@@ -136,7 +136,7 @@
 /// Checks a server once for all exchanges in which it has fallen silent.
 asio::awaitable<void> endRefusedExchanges(FrontState &state, ReplicaId server, Endpoint address)
 {
-    const bool refuses = co_await refusesConnection(std::move(address), CheckTimeout) && endsByRefusing(state, server);
+    const bool refuses = co_await refusesConnection(std::move(address), CheckTimeout) && refusalMeansEnd(state, server);
     const std::vector<SilentExchange> exchanges = std::move(state.silentExchanges.extract(server).mapped());
     LogEvent("server.checked_after_silence")
         .field("server", server)
@@ -155,7 +155,7 @@
 {
     const ReplicaId &server = connection->replica();
     const bool isCheckRunning = state.silentExchanges.contains(server);
-    if (!endsByRefusing(state, server) || (!isCheckRunning && state.silentExchanges.size() >= MaxChecks)) {
+    if (!refusalMeansEnd(state, server) || (!isCheckRunning && state.silentExchanges.size() >= MaxChecks)) {
         return;
     }
     state.silentExchanges[server].push_back({connection, connection->exchanges()});
