--- a/include/apricotarch/app/front_state.h
+++ b/include/apricotarch/app/front_state.h
@@ -122,7 +122,6 @@
     PromptPartQuarantine partQuarantine;
     /// Losses of connections that may have been crashes, by process of the server, until it has been checked.
     std::map<std::uint32_t, std::vector<PossibleCrash>> uncheckedLosses;
-    std::map<ReplicaId, std::vector<SilentExchange>> silentExchanges; ///< By server, until it has been checked.
     PlacementPlanner placementPlanner;
     ServerSpeeds serverSpeeds;
     ServiceVersions serviceVersions;
--- a/include/apricotarch/app/possible_crash.h
+++ b/include/apricotarch/app/possible_crash.h
@@ -5,7 +5,6 @@
  * Crashes of backend servers that a request may have caused, as seen by this node's attempts.
  */
 
-#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -13,7 +12,6 @@
 #include "apricotarch/base/endpoint.h"
 #include "apricotarch/base/ids.h"
 #include "apricotarch/state/backend.h"
-#include "apricotarch/transport/backend_connection.h"
 
 namespace apricotarch
 {
@@ -44,17 +42,4 @@
  */
 void recordLoss(FrontState &state, PossibleCrash crash);
 
-/// An exchange with a server that has fallen silent.
-struct SilentExchange
-{
-    BackendConnection::Pointer connection;
-    std::size_t exchange = 0; ///< BackendConnection::exchanges() while it is in progress.
-};
-
-/**
- * Fails the current exchange on a connection with ConnectionLost if the server has ended without closing its connections, which is known if
- * it refuses a new one. A server that accepts it, does not answer, or is known to leave may go on.
- */
-void checkSilentServer(FrontState &state, const BackendConnection::Pointer &connection);
-
 } // namespace apricotarch
--- a/include/apricotarch/transport/backend_connection.h
+++ b/include/apricotarch/transport/backend_connection.h
@@ -77,18 +77,6 @@
         return m_phase;
     }
 
-    /// Number of exchanges that have been started.
-    [[nodiscard]] std::size_t exchanges() const noexcept
-    {
-        return m_exchanges;
-    }
-
-    /// Whether an exchange has been started that has neither completed nor failed.
-    [[nodiscard]] bool isExchanging() const noexcept
-    {
-        return m_phase != ExchangePhase::Idle && m_phase != ExchangePhase::Complete && m_phase != ExchangePhase::Failed;
-    }
-
     /// Whether any byte of the request may have been sent.
     [[nodiscard]] bool maybeSent() const noexcept
     {
@@ -220,7 +208,7 @@
     AsyncEvent *m_changeEvent = nullptr;
     Error m_error;
     bool m_isHeadRequest = false;
-    std::size_t m_exchanges = 0;
+    std::size_t m_exchanges = 0; ///< Exchanges started.
     std::unordered_set<std::size_t> m_requestHashes; ///< Of the ids of the requests sent.
     std::size_t m_lastRequestHash = 0;
     TimePoint m_lastRequestAt;
--- a/include/apricotarch/transport/http_client.h
+++ b/include/apricotarch/transport/http_client.h
@@ -84,12 +84,6 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-/**
- * Returns whether an endpoint refuses a connection, because no process listens there. One that does not answer may only be unreachable.
- * @param timeout limit for the answer, after which it counts as not refused
- */
-[[nodiscard]] asio::awaitable<bool> refusesConnection(Endpoint endpoint, Duration timeout);
-
 /// Pool of idle connections, separate for each event loop.
 class HttpClient
 {
--- a/src/app/request_forwarder_silence.cpp
+++ b/src/app/request_forwarder_silence.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "active_attempt.h"
-#include "apricotarch/app/possible_crash.h"
 #include "apricotarch/base/log.h"
 
 // Silent servers: a server that has fallen silent keeps its request while another one is asked to take over. The first of them to go on
@@ -27,7 +26,6 @@
         if (!activeAttempt.answer && !activeAttempt.connection->isFirstExchange()) {
             m_state.backendPool.retireConnections(activeAttempt.backend->record.id, now);
         }
-        checkSilentServer(m_state, activeAttempt.connection);
     }
     if (hasQuarantinedPart() || chooseNextStep(AttemptResult::Silent, collectProgress()) != NextStep::TryAnother) {
         return false;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -210,18 +210,6 @@
     co_return std::unique_ptr<HttpConnection>(new HttpConnection(std::move(impl)));
 }
 
-asio::awaitable<bool> refusesConnection(Endpoint endpoint, Duration timeout)
-{
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
-    beast::error_code code;
-    const tcp::endpoint address(asio::ip::make_address(endpoint.host, code), endpoint.port);
-    if (!code) {
-        stream.expires_after(timeout);
-        co_await stream.async_connect(address, asio::redirect_error(UseAwaitable, code));
-    }
-    co_return code == asio::error::connection_refused;
-}
-
 asio::awaitable<Result<HttpResponse>> HttpConnection::exchange(HttpRequest request, Duration timeout)
 {
     Impl &impl = *m_impl;
